--- /dev/null
+++ b/src/rules.cpp
@@ -0,0 +1,732 @@
+// yewmount's decisions, all of them. The interface is Head in rules.h; slab.h holds mechanics only.
+//
+// How to call: make a Head from its Provisioning; for each moment call at(now), then listed, take, answered,
+// probed, client_left, stream_started and woke in the order things came, then settle() once. What the head
+// wants done it asks of its Surroundings from within these calls. One Head is one instance: nothing is
+// shared.
+//
+// The ordinary path is Two Random from Top Half over a statistic log (docs/design.md); beside it stand
+// admission by what a volume is due, the watch over nodes, and the seven rules that no decision here may
+// break.
+#include "rules.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+#include "slab.h"
+
+namespace yewmount {
+namespace {
+
+constexpr double kThreshold = 1.0;     // of a usual request: how much heavier the default must be
+constexpr double kGoalPart = 0.5;      // of the tightest latency goal: what the cap lets queue at a node
+constexpr int kMostOut = 32;           // the design's upper bound on requests out at one node
+constexpr double kRateMemory = 1.5e6;  // busy time over which a node's rate is learned
+constexpr double kRatePrior = 0.2e6;   // busy time that the average counts for at a node
+constexpr double kShareRoom = 2.0;     // of the mean nominal: a volume's share by weight beyond its reserve
+constexpr double kUseMemory = 4e6;     // over which a volume's units here and elsewhere are compared
+constexpr double kUntoldPart = 0.6;    // a head's part of a volume is heads^-this where others are not told
+constexpr double kRoomReserve = 1.0, kRoomShare = 0.85, kRoomBeyond = 0.5;  // of the goal, by what is due
+constexpr Micros kTick = 10'000;
+constexpr int kStrikes = 3;  // bad results in a row that shut a node
+constexpr Micros kTrialEvery = 500'000;
+constexpr double kCopyAt = 0.5;        // of the goal: when a lone submit gets company
+constexpr double kFurtherShare = 0.2;  // further submits earned by each block I/O taken, at full luck
+constexpr double kFurtherMost = 10;
+constexpr double kColdMargin = 0.9;  // of the part of a cold node that is used
+constexpr int kPlaces = 8;           // submits a block I/O can have here, whatever is allowed
+
+}  // namespace
+
+class Head::Desk {
+ public:
+  Desk(const Provisioning& given, Surroundings& out, Micros now);
+
+  // What comes after a step of a block I/O; the step's result is handed to it.
+  struct Bio;
+  using Step = void (Desk::*)(Bio&, const Answer&);
+
+  struct Submit {
+    int node = -1;
+    Micros sent = 0;
+    bool out = false, may_have_run = false, further = false;
+  };
+
+  struct Bio {
+    BlockIo io;
+    Micros goal_at = 0, not_before = 0;
+    double gain = 0;                      // a unit's gain, by what its volume was still due when it came
+    double of_reserve = 0, of_share = 0;  // units it drew there
+    double room = 1;                      // part of its goal that may be spent waiting
+    bool live = false, held = false, over = false, charged = false, streaming = false;
+    int submits = 0, outs = 0;
+    std::array<Submit, kPlaces> submit;
+    Step next = nullptr;
+    int waits_at = -1, behind = -1;  // its node while held; the next of its key, where order is kept
+  };
+
+  struct Node {
+    std::string name;
+    bool listed = false, mute = false;
+    NodeState state = NodeState::gone;
+    int shard = -1, zone = 0, out = 0, strikes = 0;
+    double size = 1, load = 0, probability = 0;
+    double served = 0, busy = 0, lag = 0, ahead = 0;
+    Micros up_since = 0, clocked = 0, heard = 0, oldest = 0, tried = 0;
+    bool blocked = false;
+    SlidingSum sent;
+  };
+
+  struct Volume {
+    double reserve = 0, share = 0, limit = 0, here = 0, elsewhere = 0;
+    int heads = 1;
+    Micros filled = -1;
+  };
+
+  struct Group : IoGroup {
+    double unit_gain = 0;
+  };
+
+  struct Due {  // of a plan, for one volume over all heads
+    double reserve, share, limit, burst, gain_factor, nominal;
+  };
+
+  struct Line {  // of one key, where order is kept
+    int first = -1, last = -1;
+    Micros rest_until = 0;
+  };
+
+  struct Linger {
+    Micros until;
+    int node;
+    double units;
+  };
+
+  // ---- the statistic log -------------------------------------------------------------------------------
+  int fit_count() const { return static_cast<int>(by_name_.size()); }
+
+  void log_send(Node& n, double units) {
+    clock(n);
+    n.load += units;
+    ++n.out;
+    n.sent.add(now_, overload_for_, units);
+    const int m = fit_count();
+    if (m < 2 || !n.listed) return;
+    const double lost = n.probability * (1 - std::exp(-n.load));
+    n.probability -= lost;
+    for (int i : by_name_)
+      if (&nodes_[i] != &n) nodes_[i].probability += lost / (m - 1);
+  }
+
+  // Guards against the multiplied probability that stays low once its cause is gone: a drained node stands
+  // at an even part again. Also catches a node idle since a surge; harms nothing but the memory of the surge.
+  void log_drop(Node& n, double units) {
+    n.load -= units;
+    if (n.load > 1e-6) return;
+    n.load = 0;
+    const double even = 1.0 / std::max(1, fit_count());
+    if (!n.listed || fit_count() < 2 || n.probability >= even) return;
+    const double scale = (1 - even) / (1 - n.probability);
+    for (int i : by_name_) nodes_[i].probability *= scale;
+    n.probability = even;
+  }
+
+  // ---- what a node bears -------------------------------------------------------------------------------
+  void clock(Node& n) {
+    const double dt = static_cast<double>(now_ - n.clocked);
+    n.clocked = now_;
+    if (n.out == 0 || dt <= 0) return;
+    const double keep = std::exp(-dt / kRateMemory);
+    n.served *= keep;
+    n.busy = n.busy * keep + dt;
+  }
+
+  double rate(const Node& n) const {  // units a microsecond that this head gets there
+    const double prior = mean_rate_ * n.size * warmth(n);
+    return (n.served + prior * kRatePrior) / (n.busy + kRatePrior);
+  }
+
+  bool cold(const Node& n) const { return n.up_since > 0 && now_ < n.up_since + warm_within_; }
+
+  double warmth(const Node& n) const {
+    if (!cold(n)) return 1;
+    const double age = static_cast<double>(std::max<Micros>(0, now_ - n.up_since - overload_for_));
+    return std::min(1.0, cold_from_ + (1 - cold_from_) * age / static_cast<double>(warm_within_));
+  }
+
+  bool own_turn(Micros slot) const { return now_ / slot % heads_ == own_number_; }
+
+  bool shut(const Node& n) const { return n.mute || n.strikes >= kStrikes; }
+
+  double cap(const Node& n) const { return std::max(most_units_, rate(n) * kGoalPart * tightest_goal_); }
+
+  bool room(Node& n, double units) {
+    if (shut(n)) return false;
+    if (n.out >= kMostOut || (n.load > 0 && n.load + units > cap(n))) return false;
+    if (!cold(n)) return true;
+    // Guards a cold node against all heads together: each keeps to its part of what is surely borne. Where
+    // the part is less than one request, heads take turns by number. Harms only when other heads have no use
+    // for it.
+    const double used = n.sent.sum(now_, overload_for_);
+    const double part = cold_bears_ * kColdMargin * warmth(n) / cold_from_ / heads_;
+    return used + units <= part || (used == 0 && own_turn(overload_for_));
+  }
+
+  // Whether so many units there would be done within what may be spent waiting; unknown rates raise no doubt.
+  bool in_time(const Bio& b, const Node& n, double units) const {
+    return mean_rate_ <= 0 || units / rate(n) <= b.room * static_cast<double>(b.goal_at - now_);
+  }
+
+  // A shut node gets one trial at a time, heads in turn, so that its return is noticed and not a stampede.
+  bool trial(Node& n, const Bio& b) {
+    if (!shut(n) || groups_[b.io.group].repeat != Repeat::idempotent) return false;
+    if (now_ - n.tried < kTrialEvery || !own_turn(kTrialEvery / heads_)) return false;
+    if (cold(n) && n.sent.sum(now_, overload_for_) > 0) return false;
+    n.tried = now_;
+    return true;
+  }
+
+  int node_of_shard(int shard) const {
+    int best = -1;
+    for (int i : by_name_) {
+      const Node& n = nodes_[i];
+      if (n.shard != shard || n.state != NodeState::ready) continue;
+      if (best < 0 || (shut(nodes_[best]) && !shut(n))) best = i;
+    }
+    return best;
+  }
+
+  // Guards against nodes loaded by others, slowed or paused, which the own log shows light: a load is never
+  // taken as less than what the node's last answers, or the wait for one, tell at an average node's rate.
+  // Harms when one big block I/O was the slow one: then new objects pass by the node for a moment.
+  double weight(const Node& n) const {
+    const Micros silent = n.oldest > 0 ? now_ - n.oldest : 0;
+    return std::max(n.load, mean_rate_ * std::max(n.lag, static_cast<double>(silent)));
+  }
+
+  // ---- where a new object lands ------------------------------------------------------------------------
+  int place(const Bio& b) {
+    fit_.clear();
+    for (int pass = 0; pass < 2 && fit_.empty(); ++pass)
+      for (int i : by_name_) {
+        Node& n = nodes_[i];
+        // Nodes restarted cold together look empty: while a warm one has room, new objects pass them by.
+        if (n.state != NodeState::ready || n.blocked || (pass == 0 && cold(n))) continue;
+        if (barred(b, i) || refused(b, i) || !room(n, b.io.units)) continue;
+        fit_.push_back(i);
+      }
+    if (fit_.empty()) return -1;
+    const int home = by_name_[b.io.object % by_name_.size()];
+    const bool home_fit = std::find(fit_.begin(), fit_.end(), home) != fit_.end();
+    std::stable_sort(fit_.begin(), fit_.end(),
+                     [&](int x, int y) { return nodes_[x].probability > nodes_[y].probability; });
+    const auto half = (fit_.size() + 1) / 2;
+    const int one = fit_[chance_() % half], two = fit_[chance_() % half];
+    const int target = weight(nodes_[two]) < weight(nodes_[one]) ? two : one;
+    if (!home_fit) return target;
+    return weight(nodes_[home]) - weight(nodes_[target]) > threshold_ ? target : home;
+  }
+
+  // ---- what a volume is due ----------------------------------------------------------------------------
+  void fill(Volume& v, const Due& due) {
+    if (v.filled < 0) {
+      v.reserve = due.reserve + most_units_;
+      v.share = due.share;
+      v.filled =
+          now_;  // the store of a limit starts empty: a head started anew can't know what it used before
+    }
+    const double dt = static_cast<double>(now_ - v.filled) / 1e6;
+    v.filled = now_;
+    const double keep = std::exp(-dt * 1e6 / kUseMemory);
+    v.here *= keep;
+    v.elsewhere *= keep;
+    const double prior = usual_units_;
+    const double part = others_told_ ? (v.here + prior) / (v.here + v.elsewhere + prior * v.heads)
+                                     : std::pow(v.heads, -kUntoldPart);
+    v.reserve = std::min(v.reserve + due.reserve * part * dt, due.reserve * part + most_units_);
+    v.share = std::min(v.share + due.share * part * dt, due.share * part);
+    v.limit = std::min(v.limit + due.limit / v.heads * dt, due.burst / v.heads);
+  }
+
+  void draw(Bio& b) {
+    Volume& v = volumes_[b.io.volume];
+    const Due& due = due_[b.io.plan];
+    v.heads = std::max(v.heads, b.io.heads);
+    fill(v, due);
+    const double units = b.io.units;
+    b.of_reserve = due.reserve > 0 ? std::clamp(v.reserve, 0.0, units) : 0;
+    b.of_share = std::clamp(v.share, 0.0, units - b.of_reserve);
+    v.reserve -= b.of_reserve;
+    v.share -= b.of_share;
+    const double part =
+        (b.of_reserve + b.of_share * share_gain_ + (units - b.of_reserve - b.of_share) * beyond_gain_) /
+        units;
+    b.gain = groups_[b.io.group].unit_gain * due.gain_factor * part;
+    b.room = (b.of_reserve * kRoomReserve + b.of_share * kRoomShare +
+              (units - b.of_reserve - b.of_share) * kRoomBeyond) /
+             units;
+  }
+
+  // What was not served in time leaves its due to the next of its volume.
+  void give_back(Bio& b) {
+    Volume& v = volumes_[b.io.volume];
+    v.reserve += b.of_reserve;
+    v.share += b.of_share;
+    b.of_reserve = b.of_share = 0;
+  }
+
+  // ---- the rules on repeating --------------------------------------------------------------------------
+  bool untouched(const Bio& b) const {
+    if (b.outs > 0) return false;
+    for (int i = 0; i < b.submits; ++i)
+      if (b.submit[i].may_have_run) return false;
+    return true;
+  }
+
+  bool may_shed(const Bio& b) const {
+    const Group& g = groups_[b.io.group];
+    return g.repeat == Repeat::idempotent || untouched(b) ||
+           (g.repeat == Repeat::fingerprinted && g.scope == Scope::all);
+  }
+
+  // Whether a submit to this node would break the promise of no second effect.
+  bool barred(const Bio& b, int node) const {
+    const Group& g = groups_[b.io.group];
+    if (b.submits >= most_submits_ || (b.outs > 0 && !may_copy_)) return true;
+    if (g.repeat == Repeat::idempotent || untouched(b)) return false;
+    if (g.repeat == Repeat::side_effecting) return true;
+    for (int i = 0; i < b.submits; ++i) {
+      const Submit& s = b.submit[i];
+      if (!s.out && !s.may_have_run) continue;
+      if (now_ >= s.sent + g.memory_span) return true;
+      if (g.scope == Scope::zone && nodes_[s.node].zone != nodes_[node].zone) return true;
+      if (g.scope == Scope::cell && nodes_[s.node].shard != nodes_[node].shard) return true;
+    }
+    return false;
+  }
+
+  // A new object goes elsewhere once a node turned it away, even if that node still ranks well.
+  bool refused(const Bio& b, int node) const {
+    for (int i = 0; i < b.submits; ++i)
+      if (b.submit[i].node == node && b.io.shard < 0) return true;
+    return false;
+  }
+
+  bool further_allowed() {
+    if (budget_span_ < 0) return further_ >= 1;
+    while (!furthers_.empty() && furthers_.front() <= now_ - budget_span_) furthers_.pop_front();
+    while (!takes_.empty() && takes_.front() < now_ - budget_span_) takes_.pop_front();
+    const double allowed = budget_spare_ + budget_share_ * static_cast<double>(takes_.size());
+    return further_ >= 1 && static_cast<double>(furthers_.size()) + 1 <= allowed;
+  }
+
+  bool has_turn(const Bio& b) {
+    if (!groups_[b.io.group].keeps_order || b.io.object == 0) return true;
+    const Line& line = lines_[b.io.object];
+    return line.first >= 0 && &bios_[line.first] == &b && (b.submits > 0 || now_ >= line.rest_until);
+  }
+
+  bool within_limit(const Bio& b) {
+    const Due& due = due_[b.io.plan];
+    if (due.limit <= 0 || b.charged) return true;
+    Volume& v = volumes_[b.io.volume];
+    fill(v, due);
+    return v.limit >= b.io.units;
+  }
+
+  // ---- steps of a block I/O ----------------------------------------------------------------------------
+  void send(Bio& b, int node) {
+    Submit& s = b.submit[b.submits++];
+    s = {.node = node, .sent = now_, .out = true, .may_have_run = false, .further = b.submits > 1};
+    ++b.outs;
+    b.held = false;
+    b.next = &Desk::after_submit;
+    if (s.further) {
+      further_ -= 1;
+      if (budget_span_ >= 0) furthers_.push_back(now_);
+    }
+    if (due_[b.io.plan].limit > 0 && !b.charged) volumes_[b.io.volume].limit -= b.io.units;
+    b.charged = true;
+    log_send(nodes_[node], b.io.units);
+    out_.submit(b.io.id, node, std::max<Micros>(b.io.give_up_at - now_, 1));
+  }
+
+  void hold(int at) {
+    Bio& b = bios_[at];
+    b.held = true;
+    auto later = [&](int x, int y) { return bios_[x].goal_at < bios_[y].goal_at; };
+    held_.insert(std::upper_bound(held_.begin(), held_.end(), at, later), at);
+  }
+
+  void after_submit(Bio& b, const Answer& a) {
+    if (a.over) return finish(b, a.result == Result::ended && now_ <= b.goal_at);
+    if (b.outs > 0) return;  // a copy is still out
+    // Known not to have run, or free to repeat: once more where it can still be in time, and luck allows.
+    if (b.submits < most_submits_ && now_ < b.goal_at && further_allowed() &&
+        (untouched(b) || groups_[b.io.group].repeat != Repeat::side_effecting)) {
+      b.not_before = b.io.shard < 0 ? now_ : now_ + tightest_goal_ / 8;
+      return hold(static_cast<int>(&b - &bios_[0]));
+    }
+    give_up(b);
+  }
+
+  void after_over(Bio&, const Answer&) {}
+
+  void finish(Bio& b, bool in_time) {
+    if (!in_time) give_back(b);
+    b.over = true;
+    b.held = false;
+    b.next = &Desk::after_over;
+  }
+
+  void give_up(Bio& b) {
+    if (may_shed(b))
+      out_.shed(b.io.id, takes_advice_ ? std::min<Micros>(longest_advice_, tightest_goal_) : 0);
+    else
+      out_.fail(b.io.id);
+    finish(b, false);
+  }
+
+  void let_go(int at) {  // the place, once nothing more can come for it
+    Bio& b = bios_[at];
+    if (!b.live || !b.over || b.outs > 0) return;
+    if (groups_[b.io.group].keeps_order && b.io.object != 0) {
+      Line& line = lines_[b.io.object];
+      int* link = &line.first;
+      int before = -1;
+      while (*link != at) before = *link, link = &bios_[*link].behind;
+      *link = b.behind;
+      if (line.last == at) line.last = before;
+      if (line.first < 0 && now_ >= line.rest_until) lines_.erase(b.io.object);
+    }
+    index_.drop(b.io.id);
+    held_.erase(std::remove(held_.begin(), held_.end(), at), held_.end());
+    b.live = false;
+    bios_.release(at);
+  }
+
+  // ---- the calls ---------------------------------------------------------------------------------------
+  void listed(ListKind kind, std::span<const NodeEntry> entries);
+  void take(const BlockIo& io);
+  void answered(const Answer& a);
+  void settle();
+  void tick();
+  void ask_list();
+  void look_at(Bio& b);
+
+  Surroundings& out_;
+  Micros now_;
+  std::ranlux24_base chance_;
+  std::vector<Group> groups_;
+  std::vector<Due> due_;
+  int heads_, own_number_, most_submits_;
+  bool may_copy_, may_probe_, takes_advice_, others_told_, list_asked_, sizes_told_;
+  Micros longest_advice_, ask_every_, overload_for_, warm_within_, turn_rest_, budget_span_;
+  double tightest_goal_ = 0, threshold_, most_units_, usual_units_, share_gain_, beyond_gain_;
+  double cold_bears_, cold_from_, budget_spare_, budget_share_;
+  double mean_rate_ = 0, luck_ = 0.5, further_ = 1;
+  Micros asked_ = 0, ask_at_ = 0;
+  Slab<Bio> bios_;
+  int most_place_ = 0;
+  TicketIndex index_;
+  std::vector<Node> nodes_;
+  std::vector<int> by_name_, fit_, held_, walk_;
+  std::vector<Volume> volumes_;
+  std::vector<Linger> lingers_;
+  std::deque<Micros> takes_, furthers_;
+  std::unordered_map<std::uint64_t, Line> lines_;
+};
+
+Head::Desk::Desk(const Provisioning& given, Surroundings& out, Micros now)
+    : out_(out),
+      now_(now),
+      chance_(static_cast<std::uint32_t>(given.seed ^ (given.seed >> 32))),
+      heads_(std::max(1, given.heads)),
+      own_number_(given.own_number),
+      most_submits_(std::min(given.most_submits, kPlaces)),
+      may_copy_(given.may_copy),
+      may_probe_(given.may_probe),
+      takes_advice_(given.takes_advice),
+      others_told_(given.tells_elsewhere),
+      list_asked_(given.list_asked),
+      sizes_told_(given.sizes_told),
+      longest_advice_(given.longest_advice),
+      ask_every_(given.ask_every),
+      overload_for_(given.overload_for),
+      warm_within_(given.warm_within),
+      turn_rest_(std::max<Micros>(0, given.turn_rest)),
+      budget_span_(given.budget_span),
+      threshold_(kThreshold * given.usual_units),
+      most_units_(given.most_units),
+      usual_units_(given.usual_units),
+      share_gain_(given.share_gain),
+      beyond_gain_(given.beyond_gain),
+      cold_bears_(given.cold_bears),
+      cold_from_(std::max(given.cold_from, 0.01)),
+      budget_spare_(std::max(0.0, given.budget_spare)),
+      budget_share_(std::max(0.0, given.budget_share)) {
+  for (const IoGroup& g : given.groups) {
+    groups_.push_back({g, g.gain / given.usual_units});
+    const double goal = static_cast<double>(g.latency_goal);
+    tightest_goal_ = tightest_goal_ == 0 ? goal : std::min(tightest_goal_, goal);
+  }
+  double nominal = 0, weights = 0;
+  for (const Plan& p : given.plans) nominal += p.nominal, weights += p.weight;
+  for (const Plan& p : given.plans)
+    due_.push_back(
+        {p.reserve, kShareRoom * nominal * p.weight / weights, p.limit, p.burst, p.gain_factor, p.nominal});
+  if (list_asked_) ask_list();
+  out_.wake(0, kTick);
+}
+
+// Watching costs a line a change; asking anew when all has been still covers a watch that broke unnoticed.
+void Head::Desk::ask_list() {
+  out_.watch_list();
+  asked_ = now_;
+  ask_at_ = now_ + ask_every_ * 3 / 4 + static_cast<Micros>(chance_() % 500'000);
+}
+
+void Head::Desk::listed(ListKind kind, std::span<const NodeEntry> entries) {
+  if (kind == ListKind::failed) {
+    ask_at_ = std::min(ask_at_, now_ + ask_every_ / 20 + static_cast<Micros>(chance_() % 300'000));
+    return;
+  }
+  if (kind != ListKind::delta)
+    for (Node& n : nodes_) n.listed = false, n.state = NodeState::gone;
+  for (const NodeEntry& e : entries) {
+    if (e.node >= static_cast<int>(nodes_.size())) nodes_.resize(e.node + 1);
+    Node& n = nodes_[e.node];
+    if (n.name.empty()) n.name = e.name;
+    if (e.up_since > n.up_since && n.up_since + n.heard > 0) {  // restarted: what was learned is of its past
+      n.served = n.busy = n.lag = 0;
+      n.strikes = 0;
+      n.mute = false;
+    }
+    n.up_since = e.up_since;
+    n.state = e.state;
+    n.listed = e.state != NodeState::gone;
+    n.shard = e.shard;
+    n.zone = e.zone;
+    n.size = sizes_told_ && e.share > 0 ? e.share : 1;
+  }
+  by_name_.clear();
+  double sizes = 0;
+  for (int i = 0; i < static_cast<int>(nodes_.size()); ++i)
+    if (nodes_[i].listed) by_name_.push_back(i), sizes += nodes_[i].size;
+  std::sort(by_name_.begin(), by_name_.end(), [&](int x, int y) { return nodes_[x].name < nodes_[y].name; });
+  double sum = 0;
+  for (int i : by_name_) {
+    Node& n = nodes_[i];
+    if (n.probability <= 0) n.probability = 1.0 / static_cast<double>(by_name_.size());
+    sum += n.probability;
+    n.size *= static_cast<double>(by_name_.size()) / sizes;
+  }
+  for (int i : by_name_) nodes_[i].probability /= sum;
+}
+
+void Head::Desk::take(const BlockIo& io) {
+  const int at = bios_.claim();
+  Bio& b = bios_[at];
+  most_place_ = std::max(most_place_, at + 1);
+  b.io = io;
+  b.live = true;
+  b.next = &Desk::after_submit;
+  index_.add(io.id, at);
+  const Group& g = groups_[io.group];
+  const double stretch = mean_rate_ > 0 ? g.goal_stretch * io.units / mean_rate_ : 0;
+  b.goal_at = std::min(now_ + g.latency_goal + static_cast<Micros>(stretch), io.give_up_at);
+  if (io.volume >= static_cast<int>(volumes_.size())) volumes_.resize(io.volume + 1);
+  draw(b);
+  further_ = std::min(kFurtherMost, further_ + kFurtherShare * luck_);
+  if (budget_span_ >= 0) takes_.push_back(now_);
+  if (g.keeps_order && io.object != 0) {
+    Line& line = lines_[io.object];
+    (line.first < 0 ? line.first : bios_[line.last].behind) = at;
+    line.last = at;
+  }
+  hold(at);
+}
+
+void Head::Desk::answered(const Answer& a) {
+  const int at = index_.find(a.id);
+  if (at < 0) return;
+  Bio& b = bios_[at];
+  if (a.submit < 0 || a.submit >= b.submits || !b.submit[a.submit].out) return;
+  Submit& s = b.submit[a.submit];
+  Node& n = nodes_[s.node];
+  clock(n);
+  s.out = false;
+  --b.outs;
+  --n.out;
+  const bool answer =
+      a.result == Result::ended || a.result == Result::error || a.result == Result::turned_away;
+  s.may_have_run =
+      a.result != Result::turned_away && a.result != Result::no_connection && a.result != Result::not_sent;
+  if (answer) n.heard = now_;
+  if (a.result == Result::ended) {
+    n.served += b.io.units;
+    n.strikes = 0;
+    n.mute = false;
+    n.lag += 0.3 * (static_cast<double>(a.lag) - n.lag);
+    log_drop(n, b.io.units);
+  } else if (a.result == Result::not_sent || a.result == Result::called_off) {
+    if (a.result == Result::not_sent && b.charged && untouched(b) && due_[b.io.plan].limit > 0) {
+      volumes_[b.io.volume].limit += b.io.units;
+      b.charged = false;
+    }
+    log_drop(n, b.io.units);
+  } else {
+    // Guards against a node that sheds its counted units by quick errors and then looks lightest: the units
+    // stay for as long as a good answer may take. Also catches full queues and refused connections.
+    if (a.result != Result::turned_away) ++n.strikes;
+    lingers_.push_back({std::max(now_, s.sent + static_cast<Micros>(tightest_goal_)), s.node,
+                        static_cast<double>(b.io.units)});
+  }
+  if (s.further) luck_ += 0.1 * ((a.result == Result::ended && now_ <= b.goal_at ? 1.0 : 0.0) - luck_);
+  luck_ = std::max(luck_, 0.05);
+  Volume& v = volumes_[b.io.volume];
+  if (answer) {
+    fill(v, due_[b.io.plan]);
+    if (a.result == Result::ended) v.here += b.io.units;
+    v.elsewhere += a.from_others;
+  }
+  if (groups_[b.io.group].keeps_order && b.io.object != 0 && s.may_have_run && !answer) {
+    Line& line = lines_[b.io.object];
+    line.rest_until = std::max(line.rest_until, now_ + turn_rest_);
+  }
+  (this->*b.next)(b, a);
+  let_go(at);
+}
+
+// Walks the held ones, earliest deadline first: each leaves, waits, or makes room for one worth more.
+void Head::Desk::settle() {
+  for (Node& n : nodes_) {
+    clock(n);
+    n.ahead = n.load;
+    n.blocked = false;
+  }
+  walk_.clear();
+  for (std::size_t h = 0; h < held_.size(); ++h) {
+    const int at = held_[h];
+    Bio& b = bios_[at];
+    if (!b.held || b.over) continue;
+    if (now_ >= b.goal_at) {
+      give_up(b);
+      continue;
+    }
+    int node = b.io.shard >= 0 ? node_of_shard(b.io.shard) : place(b);
+    const bool ready =
+        now_ >= b.not_before && has_turn(b) && within_limit(b) && (b.submits == 0 || further_allowed());
+    if (ready && node >= 0 && !nodes_[node].blocked && !barred(b, node)) {
+      Node& n = nodes_[node];
+      if ((room(n, b.io.units) && (n.load == 0 || in_time(b, n, n.load + b.io.units))) || trial(n, b)) {
+        send(b, node);
+        n.ahead = std::max(n.ahead, n.load);
+        continue;
+      }
+    }
+    if (node < 0 && b.io.shard < 0) {  // a new object waits where the wait is shortest
+      for (int i : by_name_)
+        if (!shut(nodes_[i]) && nodes_[i].state == NodeState::ready &&
+            (node < 0 || nodes_[i].ahead / rate(nodes_[i]) < nodes_[node].ahead / rate(nodes_[node])))
+          node = i;
+    }
+    if (node < 0) continue;
+    Node& n = nodes_[node];
+    if (b.io.shard >= 0) n.blocked = true;
+    n.ahead += b.io.units;
+    b.waits_at = node;
+    walk_.push_back(at);
+    if (in_time(b, n, n.ahead)) continue;
+    // Under pressure what earns least makes room, of those that wait at this node no later than this one.
+    int least = at;
+    for (int w : walk_)
+      if (bios_[w].held && bios_[w].waits_at == node && bios_[w].gain < bios_[least].gain) least = w;
+    n.ahead -= bios_[least].io.units;
+    give_up(bios_[least]);
+  }
+  std::erase_if(held_, [&](int at) { return !bios_[at].held; });
+  for (int at = 0; at < most_place_; ++at)
+    if (bios_[at].live && bios_[at].over) let_go(at);
+}
+
+// A lone submit that is late, or lies at a mute node, gets company where a repeat and a copy are allowed.
+void Head::Desk::look_at(Bio& b) {
+  if (!may_copy_ || b.outs != 1 || b.io.shard >= 0 || b.streaming || now_ >= b.goal_at) return;
+  if (groups_[b.io.group].repeat == Repeat::side_effecting || !further_allowed()) return;
+  const Submit& s = b.submit[b.submits - 1];
+  const double goal = static_cast<double>(b.goal_at - s.sent);
+  if (!shut(nodes_[s.node]) && static_cast<double>(now_ - s.sent) < kCopyAt * goal) return;
+  nodes_[s.node].blocked = true;
+  const int node = place(b);
+  if (node >= 0 && node != s.node) send(b, node);
+}
+
+void Head::Desk::tick() {
+  out_.wake(0, kTick);
+  if (list_asked_ && now_ >= ask_at_) ask_list();
+  std::erase_if(lingers_, [&](const Linger& l) {
+    if (l.until <= now_) log_drop(nodes_[l.node], l.units);
+    return l.until <= now_;
+  });
+  double served = 0, busy = 0;
+  for (Node& n : nodes_) {
+    n.oldest = 0;
+    n.blocked = false;
+    served += n.served;
+    busy += n.busy;
+  }
+  if (busy > 0) mean_rate_ = served / busy;
+  for (int at = 0; at < most_place_; ++at) {
+    Bio& b = bios_[at];
+    if (!b.live) continue;
+    for (int i = 0; i < b.submits; ++i)
+      if (Node& n = nodes_[b.submit[i].node]; b.submit[i].out && b.submit[i].sent >= n.heard)
+        n.oldest = n.oldest == 0 ? b.submit[i].sent : std::min(n.oldest, b.submit[i].sent);
+    if (!b.over && !b.streaming && now_ >= b.io.give_up_at) give_up(b);
+    if (!b.over) look_at(b);
+  }
+  // Guards against nodes that take work and answer none, whether hung, vanished or cut off.
+  for (Node& n : nodes_) {
+    if (n.oldest > 0 && static_cast<double>(now_ - n.oldest) > std::max(tightest_goal_, 4 * n.lag))
+      n.mute = true;
+    if (n.listed && n.state != NodeState::gone && shut(n) && may_probe_ && now_ - n.tried >= kTrialEvery &&
+        own_turn(kTrialEvery / heads_)) {
+      n.tried = now_;
+      out_.probe(static_cast<int>(&n - &nodes_[0]));
+    }
+  }
+}
+
+Head::Head(const Provisioning& given, Surroundings& out, Micros now)
+    : desk_(std::make_unique<Desk>(given, out, now)) {}
+Head::~Head() = default;
+void Head::at(Micros now) { desk_->now_ = now; }
+void Head::listed(ListKind kind, std::span<const NodeEntry> entries) { desk_->listed(kind, entries); }
+void Head::take(const BlockIo& bio) { desk_->take(bio); }
+void Head::answered(const Answer& answer) { desk_->answered(answer); }
+void Head::woke(std::uint64_t) { desk_->tick(); }
+void Head::settle() { desk_->settle(); }
+
+void Head::stream_started(std::uint64_t id, int) {
+  if (const int at = desk_->index_.find(id); at >= 0) desk_->bios_[at].streaming = true;
+}
+
+void Head::client_left(std::uint64_t id) {
+  const int at = desk_->index_.find(id);
+  if (at >= 0 && !desk_->bios_[at].over) desk_->finish(desk_->bios_[at], false);
+}
+
+void Head::probed(int node, Result result, Micros, const LoadReport&) {
+  Desk::Node& n = desk_->nodes_[node];
+  if (result != Result::ended) return;
+  n.heard = desk_->now_;
+  n.strikes = 0;
+  n.mute = false;
+}
+
+}  // namespace yewmount
--- /dev/null
+++ b/src/rules.h
@@ -0,0 +1,125 @@
+// The interface of the decision module (rules.cpp): no wire, no decision, no figure of its own.
+#pragma once
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace yewmount {
+
+using Micros = std::int64_t;
+
+enum class Repeat : std::uint8_t { idempotent, fingerprinted, side_effecting };
+enum class Scope : std::uint8_t { all, zone, cell };
+enum class NodeState : std::uint8_t { gone, ready, draining };
+enum class ListKind : std::uint8_t { delta, full, cached, failed };
+enum class Result : std::uint8_t {
+  ended,
+  error,
+  turned_away,
+  no_answer,
+  no_connection,
+  lost,
+  called_off,
+  not_sent
+};
+
+struct IoGroup {
+  Micros latency_goal, hard_limit, memory_span;
+  double goal_stretch, gain, late_part;
+  Repeat repeat;
+  Scope scope;
+  bool streams, keeps_order;
+};
+
+struct Plan {
+  double limit, burst, slack;  // units a second, units, units; limit 0: none
+  double nominal, reserve, weight, gain_factor;
+};
+
+// What a head is handed when it starts. Absent budgets and rests are negative.
+struct Provisioning {
+  std::uint64_t seed;
+  int heads, own_number;
+  std::vector<IoGroup> groups;
+  std::vector<Plan> plans;
+  double cold_bears, usual_units, most_units, share_gain, beyond_gain;
+  Micros meter_period;
+  bool tells_elsewhere, list_asked, sizes_told;
+  bool may_copy, may_cancel, may_probe, takes_advice;
+  int most_submits;
+  Micros longest_advice, answer_slack, ask_every;
+  double cold_from, fall_multiple;
+  Micros warm_within, overload_for, turn_rest;
+  double budget_spare, budget_share;
+  Micros budget_span;
+};
+
+struct NodeEntry {
+  int node;               // small index, the same for one name as long as the head lives
+  std::string_view name;  // only its order among the names counts
+  NodeState state;
+  int shard, zone;
+  double share;
+  Micros up_since;  // 0: long ago
+};
+
+struct BlockIo {
+  std::uint64_t id, object;  // object: stable hash of the key, 0: none
+  Micros give_up_at;
+  int group, plan, volume, shard;  // shard -1: a new object
+  int units, heads;
+};
+
+// Values a node may tell of itself; negative: not told.
+struct LoadReport {
+  double outstanding = -1, backlog = -1, utilization = -1;
+  Micros recent = -1;
+};
+
+struct Answer {
+  std::uint64_t id;
+  int submit, node;
+  Result result;
+  bool over;
+  Micros lag;
+  int volume_use, from_others;
+  LoadReport report;
+};
+
+// What a head asks of its surroundings; called from within Head's functions.
+class Surroundings {
+ public:
+  virtual ~Surroundings() = default;
+  virtual void submit(std::uint64_t id, int node, Micros try_for) = 0;
+  virtual void shed(std::uint64_t id, Micros come_back_after) = 0;
+  virtual void fail(std::uint64_t id) = 0;
+  virtual void cancel(std::uint64_t id, int submit) = 0;
+  virtual void wake(std::uint64_t token, Micros from_now) = 0;
+  virtual void fetch_list() = 0;
+  virtual void watch_list() = 0;
+  virtual void probe(int node) = 0;
+  virtual void note(std::string_view text) = 0;
+};
+
+class Head {
+ public:
+  Head(const Provisioning& given, Surroundings& out, Micros now);
+  ~Head();
+  void at(Micros now);  // the clock, before the calls of that moment
+  void listed(ListKind kind, std::span<const NodeEntry> entries);
+  void take(const BlockIo& bio);
+  void stream_started(std::uint64_t id, int submit);
+  void answered(const Answer& answer);
+  void probed(int node, Result result, Micros lag, const LoadReport& report);
+  void client_left(std::uint64_t id);
+  void woke(std::uint64_t token);
+  void settle();  // once after the calls of one moment: this is where the held ones leave
+
+ private:
+  class Desk;
+  std::unique_ptr<Desk> desk_;
+};
+
+}  // namespace yewmount
--- /dev/null
+++ b/src/slab.h
@@ -0,0 +1,122 @@
+// Mechanics only: a slab with reused places, a ticket index over it, a hash and a sliding sum.
+#pragma once
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace yewmount {
+
+// FNV-1a with a final mix: the same on every machine and run, unlike std::hash.
+constexpr std::uint64_t stable_hash(std::string_view text) {
+  std::uint64_t h = 1469598103934665603ULL;
+  for (char c : text) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+  h ^= h >> 32;
+  h *= 0x9E3779B97F4A7C15ULL;
+  return h ^ (h >> 29);
+}
+
+// Places are reused last-freed first; a reference stays good until the next claim().
+template <class T>
+class Slab {
+ public:
+  int claim() {
+    if (free_.empty()) {
+      places_.emplace_back();
+      return static_cast<int>(places_.size()) - 1;
+    }
+    int at = free_.back();
+    free_.pop_back();
+    places_[at] = T{};
+    return at;
+  }
+  void release(int at) { free_.push_back(at); }
+  T& operator[](int at) { return places_[at]; }
+  const T& operator[](int at) const { return places_[at]; }
+
+ private:
+  std::vector<T> places_;
+  std::vector<int> free_;
+};
+
+// Open addressing from a 64-bit id to a place; allocates only when it grows.
+class TicketIndex {
+ public:
+  TicketIndex() : slots_(64) {}
+  int find(std::uint64_t id) const {
+    for (std::size_t i = home(id);; i = next(i)) {
+      if (slots_[i].place < 0) return -1;
+      if (slots_[i].id == id) return slots_[i].place;
+    }
+  }
+  void add(std::uint64_t id, int place) {
+    if (2 * ++used_ > slots_.size()) grow();
+    put(id, place);
+  }
+  void drop(std::uint64_t id) {
+    std::size_t i = home(id);
+    while (slots_[i].place >= 0 && slots_[i].id != id) i = next(i);
+    if (slots_[i].place < 0) return;
+    --used_;
+    for (std::size_t j = next(i); slots_[j].place >= 0; j = next(j)) {
+      std::size_t want = home(slots_[j].id);
+      bool between = i <= j ? (i < want && want <= j) : (i < want || want <= j);
+      if (between) continue;
+      slots_[i] = slots_[j];
+      i = j;
+    }
+    slots_[i].place = -1;
+  }
+
+ private:
+  struct Slot {
+    std::uint64_t id = 0;
+    int place = -1;
+  };
+  std::size_t home(std::uint64_t id) const {
+    return (id * 0x9E3779B97F4A7C15ULL >> 20) & (slots_.size() - 1);
+  }
+  std::size_t next(std::size_t i) const { return (i + 1) & (slots_.size() - 1); }
+  void put(std::uint64_t id, int place) {
+    std::size_t i = home(id);
+    while (slots_[i].place >= 0) i = next(i);
+    slots_[i] = {id, place};
+  }
+  void grow() {
+    std::vector<Slot> old(slots_.size() * 2);
+    old.swap(slots_);
+    for (const Slot& s : old)
+      if (s.place >= 0) put(s.id, s.place);
+  }
+  std::vector<Slot> slots_;
+  std::size_t used_ = 0;
+};
+
+// Sum over a sliding window in coarse slots; it never tells less than what truly lies in the window.
+class SlidingSum {
+ public:
+  void add(std::int64_t now, std::int64_t window, double amount) {
+    roll(now, window);
+    slots_[last_ % kSlots] += amount;
+  }
+  double sum(std::int64_t now, std::int64_t window) {
+    roll(now, window);
+    double all = 0;
+    for (double s : slots_) all += s;
+    return all;
+  }
+
+ private:
+  static constexpr std::int64_t kSlots = 33;
+  void roll(std::int64_t now, std::int64_t window) {
+    std::int64_t wide = window / (kSlots - 1);
+    std::int64_t slot = now / (wide > 0 ? wide : 1);
+    if (slot - last_ >= kSlots) slots_.fill(0), last_ = slot;
+    while (last_ < slot) slots_[++last_ % kSlots] = 0;
+  }
+  std::array<double, kSlots> slots_{};
+  std::int64_t last_ = 0;
+};
+
+}  // namespace yewmount
--- /dev/null
+++ b/tests/rules_test.cpp
@@ -0,0 +1,276 @@
+// Plain cases, and one small test for each failure found.
+#include "bench_free.h"
+
+namespace yewmount::tests {
+namespace {
+
+struct OneHead : ::testing::Test {
+  Provisioning given = usual();
+  Together all;
+  std::unique_ptr<Watched> head;
+  std::uint64_t last = 0;
+
+  void start(int nodes, Micros now = second) {
+    head = std::make_unique<Watched>(given, all, now);
+    std::vector<NodeEntry> entries;
+    for (int n = 0; n < nodes; ++n) entries.push_back(entry(n));
+    head->listed(entries, ListKind::cached);
+    head->at(now);
+  }
+  std::uint64_t take(int shard, int group = 0, int units = 2, int plan = 1, int volume = 0) {
+    const Micros limit = given.groups[group].hard_limit;
+    head->take({.id = ++last,
+                .object = last * 7919,
+                .give_up_at = head->now + limit,
+                .group = group,
+                .plan = plan,
+                .volume = volume,
+                .shard = shard,
+                .units = units,
+                .heads = 1});
+    return last;
+  }
+  // Reads that are answered after `lag`, so that the head learns what each node bears.
+  void warm_up(int nodes, Micros lag = 40 * ms, int rounds = 20) {
+    for (int r = 0; r < rounds; ++r) {
+      std::vector<std::uint64_t> ids;
+      for (int n = 0; n < nodes; ++n) ids.push_back(take(n));
+      head->settle();
+      head->at(head->now + lag);
+      for (auto id : ids) head->end(id, 0, Result::ended);
+      head->settle();
+    }
+  }
+  void pass(Micros time) {
+    head->at(head->now + time);
+    head->settle();
+  }
+};
+
+TEST_F(OneHead, ReadsGoToTheNodeOfTheirShard) {
+  start(4);
+  take(2);
+  head->settle();
+  ASSERT_EQ(head->order.size(), 1u);
+  EXPECT_EQ(head->order[0].second, 2);
+}
+
+TEST_F(OneHead, NewObjectsLeaveALoadedDefaultOnlyBeyondTheThreshold) {
+  start(4);
+  warm_up(4);
+  // Alone and with all nodes empty, each new object stays where its key's hash puts it.
+  for (int i = 0; i < 12; ++i) {
+    const auto id = take(-1, 1);
+    head->settle();
+    EXPECT_EQ(head->order.back().second, static_cast<int>(last * 7919 % 4));
+    head->at(head->now + 40 * ms);
+    head->end(id, 0, Result::ended);
+    head->settle();
+  }
+  // With six units at its default and nothing elsewhere, it moves.
+  const int home = static_cast<int>((last + 2) * 7919 % 4);
+  take(home, 0, 6);
+  take(-1, 1);
+  head->settle();
+  EXPECT_NE(head->order.back().second, home);
+}
+
+TEST_F(OneHead, HeldOnesLeaveEarliestDeadlineFirst) {
+  start(1);
+  take(0, 0, 6);
+  head->settle();
+  const auto late = take(0, 1, 2), early = take(0, 0, 2);
+  head->settle();
+  ASSERT_EQ(head->order.size(), 1u) << "the cap holds them";
+  head->at(head->now + 50 * ms);
+  head->end(1, 0, Result::ended);
+  head->settle();
+  ASSERT_GE(head->order.size(), 2u);
+  EXPECT_EQ(head->order[1].first, early);
+  if (head->order.size() > 2) {
+    EXPECT_EQ(head->order[2].first, late);
+  }
+}
+
+TEST_F(OneHead, PressureShedsWhatEarnsLeast) {
+  start(1);
+  warm_up(1);
+  std::vector<std::uint64_t> poor, rich;
+  for (int i = 0; i < 30; ++i) poor.push_back(take(0, 0, 2, 0, 1));
+  for (int i = 0; i < 3; ++i) rich.push_back(take(0, 0, 2, 1, 2));
+  head->settle();
+  int poor_shed = 0;
+  for (auto id : poor) poor_shed += head->taken[id].shed;
+  EXPECT_GT(poor_shed, 10);
+  for (auto id : rich) EXPECT_FALSE(head->taken[id].shed) << "inside its reserve";
+}
+
+TEST_F(OneHead, ASideEffectingOneThatMayHaveRunFails) {
+  start(2);
+  const auto id = take(-1, 1);
+  head->settle();
+  head->at(head->now + 100 * ms);
+  head->end(id, 0, Result::lost);
+  head->settle();
+  EXPECT_TRUE(head->taken[id].failed);
+  EXPECT_EQ(head->taken[id].sent.size(), 1u);
+}
+
+TEST_F(OneHead, ATurnedAwayNewObjectGoesElsewhere) {
+  start(3);
+  const auto id = take(-1, 1);
+  head->settle();
+  const int first = head->order.back().second;
+  head->at(head->now + 2 * ms);
+  head->end(id, 0, Result::turned_away);
+  head->settle();
+  ASSERT_EQ(head->taken[id].sent.size(), 2u);
+  EXPECT_NE(head->order.back().second, first);
+}
+
+TEST_F(OneHead, QuickErrorsDoNotDrawNewObjects) {
+  start(4);
+  warm_up(4);
+  int to_bad = 0;
+  for (int i = 0; i < 40; ++i) {
+    const auto id = take(-1, 1, 1);
+    head->settle();
+    head->at(head->now + 5 * ms);
+    for (int s = 0; s < static_cast<int>(head->taken[id].sent.size()); ++s) {
+      const bool bad = head->taken[id].sent[s].node == 0;
+      to_bad += bad;
+      head->end(id, s, bad ? Result::error : Result::ended);
+    }
+    head->settle();
+  }
+  EXPECT_LE(to_bad, 5);
+}
+
+TEST_F(OneHead, ADrainedNodeIsDrawnAgain) {
+  start(4);
+  warm_up(4);
+  for (int n = 0; n < 2; ++n)
+    for (int i = 0; i < 3; ++i) take(n, 0, 2);
+  head->settle();
+  head->at(head->now + 60 * ms);
+  for (std::uint64_t id = last - 5; id <= last; ++id)
+    for (std::size_t s = 0; s < head->taken[id].sent.size(); ++s) head->end(id, int(s), Result::ended);
+  warm_up(4);
+  std::map<int, int> landed;
+  for (int i = 0; i < 24; ++i) {
+    take(-1, 1, 1);
+    head->settle();
+    ++landed[head->order.back().second];
+    pass(8 * ms);
+  }
+  EXPECT_GT(landed[0] + landed[1], 5);
+}
+
+TEST_F(OneHead, NodesRestartedColdTogetherGetNoNewObjectsWhileAWarmOneHasRoom) {
+  start(4);
+  warm_up(4);
+  head->listed({entry(0, NodeState::ready, head->now), entry(1, NodeState::ready, head->now)});
+  for (int i = 0; i < 12; ++i) {
+    const auto id = take(-1, 1);
+    head->settle();
+    EXPECT_GE(head->order.back().second, 2);
+    head->at(head->now + 30 * ms);
+    head->end(id, 0, Result::ended);
+    head->settle();
+  }
+}
+
+TEST_F(OneHead, ANodeSlowedByOthersLooksLoaded) {
+  start(4);
+  for (int r = 0; r < 20; ++r) {
+    std::vector<std::uint64_t> ids;
+    for (int n = 0; n < 4; ++n) ids.push_back(take(n, 0, 1));
+    head->settle();
+    head->at(head->now + 40 * ms);
+    for (int n = 1; n < 4; ++n) head->end(ids[n], 0, Result::ended);
+    head->at(head->now + 200 * ms);
+    if (!head->taken[ids[0]].sent.empty()) head->end(ids[0], 0, Result::ended);
+    head->settle();
+  }
+  int to_slow = 0;
+  for (int i = 0; i < 20; ++i) {
+    const auto id = take(-1, 1, 1);
+    head->settle();
+    to_slow += head->order.back().second == 0;
+    head->at(head->now + 40 * ms);
+    head->end(id, 0, Result::ended);
+    head->settle();
+  }
+  EXPECT_LE(to_slow, 2);
+}
+
+TEST_F(OneHead, AMuteNodeGetsATrialNowAndThenAndNoNewObject) {
+  start(3);
+  warm_up(3);
+  take(0);
+  head->settle();
+  pass(second);
+  head->order.clear();
+  for (int i = 0; i < 20; ++i) {
+    take(-1, 1);
+    take(0);
+    pass(50 * ms);
+  }
+  int trials = 0;
+  for (auto [id, node] : head->order) trials += node == 0;
+  EXPECT_GE(trials, 1);
+  EXPECT_LE(trials, 3);
+}
+
+TEST_F(OneHead, WhatHasNoNodeWaitsAndIsShedWhenItsGoalIsPast) {
+  start(2);
+  head->listed({entry(1, NodeState::draining)});
+  const auto id = take(1), saved = take(1, 1);
+  pass(350 * ms);
+  EXPECT_TRUE(head->taken[id].shed);
+  NodeEntry successor = entry(5);
+  successor.shard = 1;
+  head->listed({successor});
+  head->settle();
+  ASSERT_EQ(head->taken[saved].sent.size(), 1u);
+  EXPECT_EQ(head->taken[saved].sent[0].node, 5);
+}
+
+TEST_F(OneHead, AnEmptyListAndLateOutcomesAreOrdinary) {
+  start(0);
+  const auto read = take(0), write = take(-1, 1);
+  pass(700 * ms);
+  EXPECT_TRUE(head->taken[read].shed && head->taken[write].shed);
+  head->head.answered({99, 0, 0, Result::ended, true, 0, 0, 0, {}});
+  head->head.client_left(99);
+  head->head.woke(12345);
+  head->head.stream_started(99, 0);
+  pass(ms);
+}
+
+TEST_F(OneHead, TheListIsAskedAgainAfterAFailureAndInStillness) {
+  given.list_asked = true;
+  given.ask_every = 10 * second;
+  start(2);
+  EXPECT_EQ(head->asks, 1);
+  head->head.listed(ListKind::failed, {});
+  pass(2 * second);
+  EXPECT_EQ(head->asks, 2);
+  pass(9 * second);
+  EXPECT_GE(head->asks, 3);
+}
+
+TEST_F(OneHead, AStartedStreamHasNoDeadline) {
+  given.groups[0].streams = true;
+  start(1);
+  const auto id = take(0);
+  head->settle();
+  head->head.stream_started(id, 0);
+  head->taken[id].io.give_up_at += 100 * second;
+  pass(10 * second);
+  EXPECT_FALSE(head->taken[id].over);
+  head->end(id, 0, Result::ended);
+}
+
+}  // namespace
+}  // namespace yewmount::tests
