A price at each node: what earns less than the last gain shed there is shed as it comes

Earliest deadline first lets what can wait long be served in full, whatever it earns, and reads then find no time left. Covers every overload, whoever makes it. Might shed low gains for a moment after a surge.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -31,6 +31,7 @@
 constexpr double kUseMemory = 4e6;     // over which a volume's units here and elsewhere are compared
 constexpr double kUntoldPart = 0.6;    // a head's part of a volume is heads^-this where others are not told
 constexpr double kRoomReserve = 1.0, kRoomShare = 0.85, kRoomBeyond = 0.5;  // of the goal, by what is due
+constexpr double kPriceMemory = 1e6;  // over which a node's price fades when nothing is shed there
 constexpr Micros kTick = 10'000;
 constexpr int kStrikes = 3;  // bad results in a row that shut a node
 constexpr Micros kTrialEvery = 500'000;
@@ -75,7 +76,7 @@
     NodeState state = NodeState::gone;
     int shard = -1, zone = 0, out = 0, strikes = 0;
     double size = 1, load = 0, probability = 0;
-    double served = 0, busy = 0, lag = 0, ahead = 0;
+    double served = 0, busy = 0, lag = 0, ahead = 0, price = 0;
     Micros up_since = 0, clocked = 0, heard = 0, oldest = 0, tried = 0;
     bool blocked = false;
     SlidingSum sent;
@@ -181,6 +182,26 @@
     return mean_rate_ <= 0 || units / rate(n) <= b.room * static_cast<double>(b.goal_at - now_);
   }
 
+  // Guards tight goals against loose ones: what earns little and can wait long would be served in full while
+  // what earns more but has no time is shed. The last gain shed at a node is its price; what earns less is
+  // shed as it comes. Covers every overload, whoever makes it; harms for a moment after a surge has gone.
+  bool priced_out(const Bio& b, const Node& n) const { return n.load > 0 && b.gain < 0.999 * n.price; }
+
+  bool priced_out(const Bio& b) const {
+    if (b.submits > 0) return false;
+    if (b.io.shard >= 0) {
+      const int node = node_of_shard(b.io.shard);
+      return node >= 0 && priced_out(b, nodes_[node]);
+    }
+    bool any = false;
+    for (int i : by_name_) {
+      if (nodes_[i].state != NodeState::ready || shut(nodes_[i])) continue;
+      if (!priced_out(b, nodes_[i])) return false;
+      any = true;
+    }
+    return any;
+  }
+
   // A shut node gets one trial at a time, heads in turn, so that its return is noticed and not a stampede.
   bool trial(Node& n, const Bio& b) {
     if (!shut(n) || groups_[b.io.group].repeat != Repeat::idempotent) return false;
@@ -216,7 +237,7 @@
         Node& n = nodes_[i];
         // Nodes restarted cold together look empty: while a warm one has room, new objects pass them by.
         if (n.state != NodeState::ready || n.blocked || (pass == 0 && cold(n))) continue;
-        if (barred(b, i) || refused(b, i) || !room(n, b.io.units)) continue;
+        if (barred(b, i) || refused(b, i) || priced_out(b, n) || !room(n, b.io.units)) continue;
         fit_.push_back(i);
       }
     if (fit_.empty()) return -1;
@@ -614,7 +635,7 @@
     const int at = held_[h];
     Bio& b = bios_[at];
     if (!b.held || b.over) continue;
-    if (now_ >= b.goal_at) {
+    if (now_ >= b.goal_at || priced_out(b)) {
       give_up(b);
       continue;
     }
@@ -647,6 +668,7 @@
     for (int w : walk_)
       if (bios_[w].held && bios_[w].waits_at == node && bios_[w].gain < bios_[least].gain) least = w;
     n.ahead -= bios_[least].io.units;
+    n.price = std::max(n.price, bios_[least].gain);
     give_up(bios_[least]);
   }
   std::erase_if(held_, [&](int at) { return !bios_[at].held; });
@@ -677,6 +699,7 @@
   for (Node& n : nodes_) {
     n.oldest = 0;
     n.blocked = false;
+    n.price *= std::exp(-static_cast<double>(kTick) / kPriceMemory);
     served += n.served;
     busy += n.busy;
   }
