--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -607,6 +607,8 @@
     lingers_.push_back({std::max(now_, s.sent + static_cast<Micros>(tightest_goal_)), s.node,
                         static_cast<double>(b.io.units)});
   }
+  // Late answers are pressure too, seen only here: other heads load the node beyond what this one holds there.
+  if (a.result == Result::ended && now_ > b.goal_at) n.price = std::max(n.price, b.gain);
   if (s.further) luck_ += 0.1 * ((a.result == Result::ended && now_ <= b.goal_at ? 1.0 : 0.0) - luck_);
   luck_ = std::max(luck_, 0.05);
   Volume& v = volumes_[b.io.volume];
