What recent answers show of the wait counts against the goal, also at a node idle of own units

Each head now holds or sheds what its last answers show to be late, the lowest gains first (they may wait the smallest part of their goal). Covers load by others, slow nodes, pauses. Might harm: one big block I/O passes for load until the next answer.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -32,6 +32,7 @@
 constexpr double kUntoldPart = 0.6;    // a head's part of a volume is heads^-this where others are not told
 constexpr double kRoomReserve = 1.0, kRoomShare = 0.85, kRoomBeyond = 0.5;  // of the goal, by what is due
 constexpr double kPriceMemory = 1e6;  // over which a node's price fades when nothing is shed there
+constexpr double kLagMemory = 0.5e6;  // over which the last answers' lag stops telling of the wait
 constexpr Micros kTick = 10'000;
 constexpr int kStrikes = 3;  // bad results in a row that shut a node
 constexpr Micros kTrialEvery = 500'000;
@@ -179,7 +180,9 @@
 
   // Whether so many units there would be done within what may be spent waiting; unknown rates raise no doubt.
   bool in_time(const Bio& b, const Node& n, double units) const {
-    return mean_rate_ <= 0 || units / rate(n) <= b.room * static_cast<double>(b.goal_at - now_);
+    if (mean_rate_ <= 0) return true;
+    const double seen = n.lag * std::exp(-static_cast<double>(now_ - n.heard) / kLagMemory);
+    return std::max(units / rate(n), seen) <= b.room * static_cast<double>(b.goal_at - now_);
   }
 
   // Guards tight goals against loose ones: what earns little and can wait long would be served in full while
@@ -607,8 +610,6 @@
     lingers_.push_back({std::max(now_, s.sent + static_cast<Micros>(tightest_goal_)), s.node,
                         static_cast<double>(b.io.units)});
   }
-  // Late answers are pressure too, seen only here: other heads load the node beyond what this one holds there.
-  if (a.result == Result::ended && now_ > b.goal_at) n.price = std::max(n.price, b.gain);
   if (s.further) luck_ += 0.1 * ((a.result == Result::ended && now_ <= b.goal_at ? 1.0 : 0.0) - luck_);
   luck_ = std::max(luck_, 0.05);
   Volume& v = volumes_[b.io.volume];
@@ -646,7 +647,7 @@
         now_ >= b.not_before && has_turn(b) && within_limit(b) && (b.submits == 0 || further_allowed());
     if (ready && node >= 0 && !nodes_[node].blocked && !barred(b, node)) {
       Node& n = nodes_[node];
-      if ((room(n, b.io.units) && (n.load == 0 || in_time(b, n, n.load + b.io.units))) || trial(n, b)) {
+      if ((room(n, b.io.units) && in_time(b, n, n.load + b.io.units)) || trial(n, b)) {
         send(b, node);
         n.ahead = std::max(n.ahead, n.load);
         continue;
