--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -33,6 +33,7 @@
 constexpr double kRoomReserve = 1.0, kRoomShare = 0.85, kRoomBeyond = 0.5;  // of the goal, by what is due
 constexpr double kPriceMemory = 1e6;  // over which a node's price fades when nothing is shed there
 constexpr double kLagMemory = 0.5e6;  // over which the last answers' lag stops telling of the wait
+constexpr double kUnitPart = 0.2, kUnitStep = 0.05;  // a unit's time unhindered: this quantile of lag a unit
 constexpr Micros kTick = 10'000;
 constexpr int kStrikes = 3;  // bad results in a row that shut a node
 constexpr Micros kTrialEvery = 500'000;
@@ -77,7 +78,7 @@
     NodeState state = NodeState::gone;
     int shard = -1, zone = 0, out = 0, strikes = 0;
     double size = 1, load = 0, probability = 0;
-    double served = 0, busy = 0, lag = 0, ahead = 0, price = 0;
+    double served = 0, busy = 0, lag = 0, wait = 0, ahead = 0, price = 0;
     Micros up_since = 0, clocked = 0, heard = 0, oldest = 0, tried = 0;
     bool blocked = false;
     SlidingSum sent;
@@ -181,8 +182,9 @@
   // Whether so many units there would be done within what may be spent waiting; unknown rates raise no doubt.
   bool in_time(const Bio& b, const Node& n, double units) const {
     if (mean_rate_ <= 0) return true;
-    const double seen = n.lag * std::exp(-static_cast<double>(now_ - n.heard) / kLagMemory);
-    return std::max(units / rate(n), seen) <= b.room * static_cast<double>(b.goal_at - now_);
+    const double seen = n.wait * std::exp(-static_cast<double>(now_ - n.heard) / kLagMemory);
+    return std::max(units / rate(n), seen + b.io.units * unit_time_) <=
+           b.room * static_cast<double>(b.goal_at - now_);
   }
 
   // Guards tight goals against loose ones: what earns little and can wait long would be served in full while
@@ -452,7 +454,7 @@
   Micros longest_advice_, ask_every_, overload_for_, warm_within_, turn_rest_, budget_span_;
   double tightest_goal_ = 0, threshold_, most_units_, usual_units_, share_gain_, beyond_gain_;
   double cold_bears_, cold_from_, budget_spare_, budget_share_;
-  double mean_rate_ = 0, luck_ = 0.5, further_ = 1;
+  double mean_rate_ = 0, unit_time_ = 0, luck_ = 0.5, further_ = 1;
   Micros asked_ = 0, ask_at_ = 0;
   Slab<Bio> bios_;
   int most_place_ = 0;
@@ -526,7 +528,7 @@
     Node& n = nodes_[e.node];
     if (n.name.empty()) n.name = e.name;
     if (e.up_since > n.up_since && n.up_since + n.heard > 0) {  // restarted: what was learned is of its past
-      n.served = n.busy = n.lag = 0;
+      n.served = n.busy = n.lag = n.wait = 0;
       n.strikes = 0;
       n.mute = false;
     }
@@ -595,7 +597,11 @@
     n.served += b.io.units;
     n.strikes = 0;
     n.mute = false;
-    n.lag += 0.3 * (static_cast<double>(a.lag) - n.lag);
+    const double lag = static_cast<double>(a.lag), own = lag / b.io.units;
+    if (unit_time_ == 0) unit_time_ = own;
+    unit_time_ += kUnitStep * unit_time_ * (own < unit_time_ ? kUnitPart - 1 : kUnitPart);
+    n.lag += 0.3 * (lag - n.lag);
+    n.wait += 0.3 * (std::max(0.0, lag - b.io.units * unit_time_) - n.wait);
     log_drop(n, b.io.units);
   } else if (a.result == Result::not_sent || a.result == Result::called_off) {
     if (a.result == Result::not_sent && b.charged && untouched(b) && due_[b.io.plan].limit > 0) {
