Loose goals wait before a gate; cold nodes start from the mean rate

A loose goal let low gains onto nodes that had no time left for reads, and what is sent can't be taken back. Bad nodes ruled out: the slowest tenth carried its even part, reads were lost on all nodes alike. Should also catch any mix of groups with unlike goals; might harm loose goals at a node that stays full.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -150,7 +150,7 @@
   }
 
   double rate(const Node& n) const {  // units a microsecond that this head gets there
-    const double prior = mean_rate_ * n.size * warmth(n);
+    const double prior = mean_rate_ * n.size;
     return (n.served + prior * kRatePrior) / (n.busy + kRatePrior);
   }
 
@@ -183,12 +183,24 @@
     return used + units <= part || (used == 0 && own_turn(overload_for_));
   }
 
-  // Whether so many units there would be done within what may be spent waiting; unknown rates raise no doubt.
-  bool in_time(const Bio& b, const Node& n, double units) const {
-    if (mean_rate_ <= 0) return true;
+  // How long so many units there would take, of which the block I/O is the last; unknown rates raise no
+  // doubt.
+  double expected(const Bio& b, const Node& n, double units) const {
+    if (mean_rate_ <= 0) return 0;
     const double seen = n.wait * std::exp(-static_cast<double>(now_ - n.heard) / kLagMemory);
-    return std::max(units / rate(n), seen + b.io.units * unit_time_) <=
-           b.room * static_cast<double>(b.goal_at - now_);
+    return std::max(units / rate(n), seen + b.io.units * unit_time_);
+  }
+
+  bool in_time(const Bio& b, const Node& n, double units) const {
+    return expected(b, n, units) <= b.room * static_cast<double>(b.goal_at - now_);
+  }
+
+  // Guards tight goals against loose ones: what is sent can't be taken back, so what has time waits before
+  // the gate until the node is as short of work as the tightest goal wants it. It holds nobody back there.
+  // Harms loose goals at nodes that stay full.
+  bool gate_open(const Bio& b, const Node& n) const {
+    const double left = std::min(static_cast<double>(b.goal_at - now_), tightest_goal_);
+    return expected(b, n, n.load + b.io.units) <= b.room * left;
   }
 
   // Guards tight goals against loose ones: what earns little and can wait long would be served in full while
@@ -659,11 +671,13 @@
         now_ >= b.not_before && has_turn(b) && within_limit(b) && (b.submits == 0 || further_allowed());
     if (ready && node >= 0 && !nodes_[node].blocked && !barred(b, node)) {
       Node& n = nodes_[node];
-      if ((room(n, b.io.units) && in_time(b, n, n.load + b.io.units)) || trial(n, b)) {
+      const bool fits = room(n, b.io.units), open = gate_open(b, n);
+      if ((fits && open) || trial(n, b)) {
         send(b, node);
         n.ahead = std::max(n.ahead, n.load);
         continue;
       }
+      if (fits && in_time(b, n, n.ahead + b.io.units)) continue;  // before the gate
     }
     if (node < 0 && b.io.shard < 0) {  // a new object waits where the wait is shortest
       for (int i : by_name_)
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -105,6 +105,23 @@
   for (auto id : rich) EXPECT_FALSE(head->taken[id].shed) << "inside its reserve";
 }
 
+TEST_F(OneHead, ALooseGoalBeyondTheShareLeavesRoomForTightOnes) {
+  given.plans[0].weight = 0;  // nothing of plan 0 is inside a share
+  given.groups[1].latency_goal = 2 * second;
+  start(1);
+  warm_up(1);
+  const auto first = take(0, 0, 2);
+  const auto loose = take(0, 1, 3, 0, 1), tight = take(0, 0, 2);
+  head->settle();
+  EXPECT_TRUE(head->taken[loose].sent.empty() && !head->taken[loose].over);
+  EXPECT_EQ(head->taken[tight].sent.size(), 1u) << "what waits before the gate holds nobody back";
+  head->at(head->now + 60 * ms);
+  head->end(first, 0, Result::ended);
+  head->end(tight, 0, Result::ended);
+  pass(200 * ms);
+  EXPECT_EQ(head->taken[loose].sent.size(), 1u);
+}
+
 TEST_F(OneHead, ASideEffectingOneThatMayHaveRunFails) {
   start(2);
   const auto id = take(-1, 1);
