A cold node may get half the rule's multiple of what it served this head lately

Health ruled out: hardly a bad answer after the return. If every head keeps to a part of the multiple of what the node served it in the rule's window, all heads together do. Covers restarts, replacements and deploys. Might harm where answers come from a cache and prove nothing of the node's power; half the multiple is left for that.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -42,6 +42,7 @@
 constexpr double kFurtherShare = 0.2;  // further submits earned by each block I/O taken, at full luck
 constexpr double kFurtherMost = 10;
 constexpr double kColdMargin = 0.9;  // of the part of a cold node that is used
+constexpr double kColdProven = 0.5;  // of the rule's multiple of what a cold node served, that is sent again
 constexpr int kPlaces = 8;           // submits a block I/O can have here, whatever is allowed
 
 }  // namespace
@@ -82,7 +83,7 @@
     double served = 0, busy = 0, lag = 0, wait = 0, ahead = 0, price = 0;
     Micros up_since = 0, clocked = 0, heard = 0, oldest = 0, tried = 0, pressed_at = 0;
     bool blocked = false;
-    SlidingSum sent;
+    SlidingSum sent, done;
   };
 
   struct Volume {
@@ -179,7 +180,9 @@
     // the part is less than one request, heads take turns by number. Harms only when other heads have no use
     // for it.
     const double used = n.sent.sum(now_, overload_for_);
-    const double part = cold_bears_ * kColdMargin * warmth(n) / cold_from_ / heads_;
+    // What it served this head lately is proof of more: if all heads keep to it, all stay under the multiple.
+    const double part = std::max(cold_bears_ * kColdMargin * warmth(n) / cold_from_ / heads_,
+                                 fall_multiple_ * kColdProven * n.done.sum(now_, overload_for_));
     return used + units <= part || (used == 0 && own_turn(overload_for_));
   }
 
@@ -471,7 +474,7 @@
   bool may_copy_, may_probe_, takes_advice_, others_told_, list_asked_, sizes_told_;
   Micros longest_advice_, ask_every_, overload_for_, warm_within_, turn_rest_, budget_span_;
   double tightest_goal_ = 0, threshold_, most_units_, usual_units_, share_gain_, beyond_gain_;
-  double cold_bears_, cold_from_, budget_spare_, budget_share_;
+  double cold_bears_, cold_from_, fall_multiple_, budget_spare_, budget_share_;
   double mean_rate_ = 0, unit_time_ = 0, luck_ = 0.5, further_ = 1;
   Micros asked_ = 0, ask_at_ = 0;
   Slab<Bio> bios_;
@@ -511,6 +514,7 @@
       beyond_gain_(given.beyond_gain),
       cold_bears_(given.cold_bears),
       cold_from_(std::max(given.cold_from, 0.01)),
+      fall_multiple_(given.fall_multiple),
       budget_spare_(std::max(0.0, given.budget_spare)),
       budget_share_(std::max(0.0, given.budget_share)) {
   for (const IoGroup& g : given.groups) {
@@ -613,6 +617,7 @@
   if (answer) n.heard = now_;
   if (a.result == Result::ended) {
     n.served += b.io.units;
+    n.done.add(now_, overload_for_, b.io.units);
     n.strikes = 0;
     n.mute = false;
     const double lag = static_cast<double>(a.lag), own = lag / b.io.units;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -197,6 +197,27 @@
   }
 }
 
+TEST_F(OneHead, AColdNodeGetsMoreOnlyOnceItServes) {
+  given.heads = 4;
+  for (const Result result : {Result::called_off, Result::ended}) {
+    start(1);
+    head->listed({entry(0, NodeState::ready, head->now)});
+    for (int i = 0; i < 80; ++i) {
+      const auto id = take(0, 0, 2);
+      head->settle();
+      head->at(head->now + 30 * ms);
+      for (int s = 0; s < static_cast<int>(head->taken[id].sent.size()); ++s)
+        if (head->taken[id].sent[s].out) head->end(id, s, result);
+      head->settle();
+    }
+    if (result == Result::ended) {
+      EXPECT_GE(head->order.size(), 70u);
+    } else {
+      EXPECT_LE(head->order.size(), 4u) << "its part is 6.3 units in 3 s";
+    }
+  }
+}
+
 TEST_F(OneHead, ANodeSlowedByOthersLooksLoaded) {
   start(4);
   for (int r = 0; r < 20; ++r) {
