--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -147,12 +147,13 @@
     if (n.out == 0 || dt <= 0) return;
     const double keep = std::exp(-dt / kRateMemory);
     n.served *= keep;
-    n.busy = n.busy * keep + dt;
+    n.busy = n.busy * keep + dt * n.load;
   }
 
   double rate(const Node& n) const {  // units a microsecond that this head gets there
     const double prior = mean_rate_ * n.size;
-    return (n.served + prior * kRatePrior) / (n.busy + kRatePrior);
+    const double weight = kRatePrior * usual_units_;
+    return (n.served + prior * weight) / (n.busy + weight);
   }
 
   bool cold(const Node& n) const { return n.up_since > 0 && now_ < n.up_since + warm_within_; }
@@ -616,7 +617,7 @@
       a.result != Result::turned_away && a.result != Result::no_connection && a.result != Result::not_sent;
   if (answer) n.heard = now_;
   if (a.result == Result::ended) {
-    n.served += b.io.units;
+    n.served += b.io.units * n.load;
     n.done.add(now_, overload_for_, b.io.units);
     n.strikes = 0;
     n.mute = false;
