A unit out is taken for 0.2 unit times a head; silence ends with an answer

Causes: (1) with many heads the fitted slope came too late, because when one head sends more, so do the others; the slope expected beforehand now grows with the number of heads.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -43,7 +43,12 @@
 constexpr double kFurtherMost = 10;
 constexpr double kColdMargin = 0.9;  // of the part of a cold node that is used
 constexpr double kColdProven = 0.5;  // of the rule's multiple of what a cold node served, that is sent again
-constexpr int kPlaces = 8;           // submits a block I/O can have here, whatever is allowed
+constexpr double kFitKeep = 0.93,
+                 kFitPrior =
+                     100;  // of a node's fit at each answer; units squared that a unit's own time counts for
+constexpr double kFitMemory = 3e6;  // without answers, until the fit is as good as none
+constexpr double kFitDark = 0.2;    // of a unit time for each head: when this one sends more, so do others
+constexpr int kPlaces = 8;          // submits a block I/O can have here, whatever is allowed
 
 }  // namespace
 
@@ -58,6 +63,7 @@
   struct Submit {
     int node = -1;
     Micros sent = 0;
+    double load = 0;
     bool out = false, may_have_run = false, further = false;
   };
 
@@ -74,8 +80,21 @@
     int waits_at = -1, behind = -1;  // its node while held; the next of its key, where order is kept
   };
 
+  // Lag against units out, the newest answers counting most: what a node takes whatever is out, and for each
+  // unit.
+  struct Fit {
+    double count = 0, load = 0, lag = 0, load2 = 0, load_lag = 0;
+    void add(double x, double y) {
+      for (double* v : {&count, &load, &lag, &load2, &load_lag}) *v *= kFitKeep;
+      count += 1, load += x, lag += y, load2 += x * x, load_lag += x * y;
+    }
+    double spread() const { return count > 0 ? std::max(0.0, load2 - load * load / count) : 0; }
+    double cross() const { return count > 0 ? load_lag - load * lag / count : 0; }
+  };
+
   struct Node {
     std::string name;
+    Fit fit;
     bool listed = false, mute = false;
     NodeState state = NodeState::gone;
     int shard = -1, zone = 0, out = 0, strikes = 0;
@@ -147,13 +166,12 @@
     if (n.out == 0 || dt <= 0) return;
     const double keep = std::exp(-dt / kRateMemory);
     n.served *= keep;
-    n.busy = n.busy * keep + dt * n.load;
+    n.busy = n.busy * keep + dt;
   }
 
   double rate(const Node& n) const {  // units a microsecond that this head gets there
     const double prior = mean_rate_ * n.size;
-    const double weight = kRatePrior * usual_units_;
-    return (n.served + prior * weight) / (n.busy + weight);
+    return (n.served + prior * kRatePrior) / (n.busy + kRatePrior);
   }
 
   bool cold(const Node& n) const { return n.up_since > 0 && now_ < n.up_since + warm_within_; }
@@ -187,12 +205,23 @@
     return used + units <= part || (used == 0 && own_turn(overload_for_));
   }
 
+  // How long the oldest submit there has waited with no answer of any kind since it left.
+  double silence(const Node& n) const {
+    return n.oldest > n.heard ? static_cast<double>(now_ - n.oldest) : 0;
+  }
+
   // How long so many units there would take, of which the block I/O is the last; unknown rates raise no
   // doubt.
   double expected(const Bio& b, const Node& n, double units) const {
     if (mean_rate_ <= 0) return 0;
-    const double seen = n.wait * std::exp(-static_cast<double>(now_ - n.heard) / kLagMemory);
-    return std::max(units / rate(n), seen + b.io.units * unit_time_);
+    const double fresh = std::exp(-static_cast<double>(now_ - n.heard) / kLagMemory);
+    const Fit& f = n.fit;
+    const double slope =
+        (std::max(0.0, f.cross()) + kFitPrior * kFitDark * heads_ * unit_time_) / (f.spread() + kFitPrior);
+    const double base = f.count > 0 ? f.lag / f.count - slope * f.load / f.count : 0;
+    return std::max(
+        std::max(0.0, base) * std::exp(-static_cast<double>(now_ - n.heard) / kFitMemory) + slope * units,
+        std::max(silence(n) - n.lag, n.wait * fresh) + b.io.units * unit_time_);
   }
 
   bool in_time(const Bio& b, const Node& n, double units) const {
@@ -249,10 +278,7 @@
   // Guards against nodes loaded by others, slowed or paused, which the own log shows light: a load is never
   // taken as less than what the node's last answers, or the wait for one, tell at an average node's rate.
   // Harms when one big block I/O was the slow one: then new objects pass by the node for a moment.
-  double weight(const Node& n) const {
-    const Micros silent = n.oldest > 0 ? now_ - n.oldest : 0;
-    return std::max(n.load, mean_rate_ * std::max(n.lag, static_cast<double>(silent)));
-  }
+  double weight(const Node& n) const { return std::max(n.load, mean_rate_ * std::max(n.lag, silence(n))); }
 
   // ---- where a new object lands ------------------------------------------------------------------------
   int place(const Bio& b) {
@@ -389,7 +415,12 @@
   // ---- steps of a block I/O ----------------------------------------------------------------------------
   void send(Bio& b, int node) {
     Submit& s = b.submit[b.submits++];
-    s = {.node = node, .sent = now_, .out = true, .may_have_run = false, .further = b.submits > 1};
+    s = {.node = node,
+         .sent = now_,
+         .load = nodes_[node].load + b.io.units,
+         .out = true,
+         .may_have_run = false,
+         .further = b.submits > 1};
     ++b.outs;
     b.held = false;
     b.next = &Desk::after_submit;
@@ -552,6 +583,7 @@
     if (n.name.empty()) n.name = e.name;
     if (e.up_since > n.up_since && n.up_since + n.heard > 0) {  // restarted: what was learned is of its past
       n.served = n.busy = n.lag = n.wait = 0;
+      n.fit = {};
       n.strikes = 0;
       n.mute = false;
     }
@@ -617,13 +649,14 @@
       a.result != Result::turned_away && a.result != Result::no_connection && a.result != Result::not_sent;
   if (answer) n.heard = now_;
   if (a.result == Result::ended) {
-    n.served += b.io.units * n.load;
+    n.served += b.io.units;
     n.done.add(now_, overload_for_, b.io.units);
     n.strikes = 0;
     n.mute = false;
     const double lag = static_cast<double>(a.lag), own = lag / b.io.units;
     if (unit_time_ == 0) unit_time_ = own;
     unit_time_ += kUnitStep * unit_time_ * (own < unit_time_ ? kUnitPart - 1 : kUnitPart);
+    n.fit.add(s.load, lag);
     n.lag += 0.3 * (lag - n.lag);
     n.wait += 0.3 * (std::max(0.0, lag - b.io.units * unit_time_) - n.wait);
     log_drop(n, b.io.units);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -108,6 +108,7 @@
 TEST_F(OneHead, ALooseGoalBeyondTheShareLeavesRoomForTightOnes) {
   given.plans[0].weight = 0;  // nothing of plan 0 is inside a share
   given.groups[1].latency_goal = 2 * second;
+  given.heads = 4;
   start(1);
   warm_up(1);
   const auto first = take(0, 0, 2);
