--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -34,7 +34,6 @@
 constexpr double kPriceMemory = 2.5e6;  // over which a node's price fades when nothing is shed there
 constexpr double kLagMemory = 0.5e6;    // over which the last answers' lag stops telling of the wait
 constexpr double kUnitPart = 0.2, kUnitStep = 0.05;  // a unit's time unhindered: this quantile of lag a unit
-constexpr Micros kPressedFor = 300'000;
 constexpr Micros kTick = 10'000;
 constexpr int kStrikes = 3;  // bad results in a row that shut a node
 constexpr Micros kTrialEvery = 500'000;
@@ -100,7 +99,7 @@
     int shard = -1, zone = 0, out = 0, strikes = 0;
     double size = 1, load = 0, probability = 0;
     double served = 0, busy = 0, lag = 0, wait = 0, ahead = 0, price = 0;
-    Micros up_since = 0, clocked = 0, heard = 0, oldest = 0, tried = 0, pressed_at = 0;
+    Micros up_since = 0, clocked = 0, heard = 0, oldest = 0, tried = 0;
     bool blocked = false;
     SlidingSum sent, done;
   };
@@ -182,9 +181,6 @@
     return std::min(1.0, cold_from_ + (1 - cold_from_) * age / static_cast<double>(warm_within_));
   }
 
-  // Whether something was shed there for want of time, not long ago.
-  bool pressed(const Node& n) const { return n.pressed_at > 0 && now_ - n.pressed_at < kPressedFor; }
-
   bool own_turn(Micros slot) const { return now_ / slot % heads_ == own_number_; }
 
   bool shut(const Node& n) const { return n.mute || n.strikes >= kStrikes; }
@@ -286,10 +282,9 @@
     for (int pass = 0; pass < 2 && fit_.empty(); ++pass)
       for (int i : by_name_) {
         Node& n = nodes_[i];
-        // Nodes restarted cold together look empty, and reads shed at a node have no other: while a warm and
-        // unpressed one has room, new objects pass such nodes by. Harms the spread when most are pressed.
+        // Nodes restarted cold together look empty: while a warm one has room, new objects pass them by.
         if (n.state != NodeState::ready || n.blocked) continue;
-        if (pass == 0 && (cold(n) || pressed(n))) continue;
+        if (pass == 0 && cold(n)) continue;
         if (barred(b, i) || refused(b, i) || priced_out(b, n) || !room(n, b.io.units)) continue;
         fit_.push_back(i);
       }
@@ -737,7 +732,6 @@
       if (bios_[w].held && bios_[w].waits_at == node && bios_[w].gain < bios_[least].gain) least = w;
     n.ahead -= bios_[least].io.units;
     n.price = std::max(n.price, bios_[least].gain);
-    n.pressed_at = now_;
     give_up(bios_[least]);
   }
   std::erase_if(held_, [&](int at) { return !bios_[at].held; });
