--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -37,7 +37,6 @@
 constexpr Micros kTick = 10'000;
 constexpr int kStrikes = 3;  // bad results in a row that shut a node
 constexpr Micros kTrialEvery = 500'000;
-constexpr double kCopyAt = 0.5;        // of the goal: when a lone submit gets company
 constexpr double kFurtherShare = 0.2;  // further submits earned by each block I/O taken, at full luck
 constexpr double kFurtherMost = 10;
 constexpr double kColdMargin = 0.9;  // of the part of a cold node that is used
@@ -365,7 +364,7 @@
   // Whether a submit to this node would break the promise of no second effect.
   bool barred(const Bio& b, int node) const {
     const Group& g = groups_[b.io.group];
-    if (b.submits >= most_submits_ || (b.outs > 0 && !may_copy_)) return true;
+    if (b.submits >= most_submits_ || b.outs > 0) return true;
     if (g.repeat == Repeat::idempotent || untouched(b)) return false;
     if (g.repeat == Repeat::side_effecting) return true;
     for (int i = 0; i < b.submits; ++i) {
@@ -438,7 +437,6 @@
 
   void after_submit(Bio& b, const Answer& a) {
     if (a.over) return finish(b, a.result == Result::ended && now_ <= b.goal_at);
-    if (b.outs > 0) return;  // a copy is still out
     // Known not to have run, or free to repeat: once more where it can still be in time, and luck allows.
     if (b.submits < most_submits_ && now_ < b.goal_at && further_allowed() &&
         (untouched(b) || groups_[b.io.group].repeat != Repeat::side_effecting)) {
@@ -490,7 +488,6 @@
   void settle();
   void tick();
   void ask_list();
-  void look_at(Bio& b);
 
   Surroundings& out_;
   Micros now_;
@@ -498,7 +495,7 @@
   std::vector<Group> groups_;
   std::vector<Due> due_;
   int heads_, own_number_, most_submits_;
-  bool may_copy_, may_probe_, takes_advice_, others_told_, list_asked_, sizes_told_;
+  bool may_probe_, takes_advice_, others_told_, list_asked_, sizes_told_;
   Micros longest_advice_, ask_every_, overload_for_, warm_within_, turn_rest_, budget_span_;
   double tightest_goal_ = 0, threshold_, most_units_, usual_units_, share_gain_, beyond_gain_;
   double cold_bears_, cold_from_, fall_multiple_, budget_spare_, budget_share_;
@@ -522,7 +519,6 @@
       heads_(std::max(1, given.heads)),
       own_number_(given.own_number),
       most_submits_(std::min(given.most_submits, kPlaces)),
-      may_copy_(given.may_copy),
       may_probe_(given.may_probe),
       takes_advice_(given.takes_advice),
       others_told_(given.tells_elsewhere),
@@ -739,18 +735,6 @@
     if (bios_[at].live && bios_[at].over) let_go(at);
 }
 
-// A lone submit that is late, or lies at a mute node, gets company where a repeat and a copy are allowed.
-void Head::Desk::look_at(Bio& b) {
-  if (!may_copy_ || b.outs != 1 || b.io.shard >= 0 || b.streaming || now_ >= b.goal_at) return;
-  if (groups_[b.io.group].repeat == Repeat::side_effecting || !further_allowed()) return;
-  const Submit& s = b.submit[b.submits - 1];
-  const double goal = static_cast<double>(b.goal_at - s.sent);
-  if (!shut(nodes_[s.node]) && static_cast<double>(now_ - s.sent) < kCopyAt * goal) return;
-  nodes_[s.node].blocked = true;
-  const int node = place(b);
-  if (node >= 0 && node != s.node) send(b, node);
-}
-
 void Head::Desk::tick() {
   out_.wake(0, kTick);
   if (list_asked_ && now_ >= ask_at_) ask_list();
@@ -774,7 +758,6 @@
       if (Node& n = nodes_[b.submit[i].node]; b.submit[i].out && b.submit[i].sent >= n.heard)
         n.oldest = n.oldest == 0 ? b.submit[i].sent : std::min(n.oldest, b.submit[i].sent);
     if (!b.over && !b.streaming && now_ >= b.io.give_up_at) give_up(b);
-    if (!b.over) look_at(b);
   }
   // Guards against nodes that take work and answer none, whether hung, vanished or cut off.
   for (Node& n : nodes_) {
