--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -62,7 +62,7 @@
     int node = -1;
     Micros sent = 0;
     double load = 0;
-    bool out = false, may_have_run = false, further = false;
+    bool out = false, may_have_run = false, further = false, written_off = false;
   };
 
   struct Bio {
@@ -641,6 +641,7 @@
   s.may_have_run =
       a.result != Result::turned_away && a.result != Result::no_connection && a.result != Result::not_sent;
   if (answer) n.heard = now_;
+  const double counted = s.written_off ? 0 : b.io.units;
   if (a.result == Result::ended) {
     n.served += b.io.units;
     n.done.add(now_, overload_for_, b.io.units);
@@ -652,19 +653,18 @@
     n.fit.add(s.load, lag);
     n.lag += 0.3 * (lag - n.lag);
     n.wait += 0.3 * (std::max(0.0, lag - b.io.units * unit_time_) - n.wait);
-    log_drop(n, b.io.units);
+    log_drop(n, counted);
   } else if (a.result == Result::not_sent || a.result == Result::called_off) {
     if (a.result == Result::not_sent && b.charged && untouched(b) && due_[b.io.plan].limit > 0) {
       volumes_[b.io.volume].limit += b.io.units;
       b.charged = false;
     }
-    log_drop(n, b.io.units);
+    log_drop(n, counted);
   } else {
     // Guards against a node that sheds its counted units by quick errors and then looks lightest: the units
     // stay for as long as a good answer may take. Also catches full queues and refused connections.
     if (a.result != Result::turned_away) ++n.strikes;
-    lingers_.push_back({std::max(now_, s.sent + static_cast<Micros>(tightest_goal_)), s.node,
-                        static_cast<double>(b.io.units)});
+    lingers_.push_back({std::max(now_, s.sent + static_cast<Micros>(tightest_goal_)), s.node, counted});
   }
   if (s.further) luck_ += 0.1 * ((a.result == Result::ended && now_ <= b.goal_at ? 1.0 : 0.0) - luck_);
   luck_ = std::max(luck_, 0.05);
@@ -759,6 +759,15 @@
     for (int i = 0; i < b.submits; ++i)
       if (Node& n = nodes_[b.submit[i].node]; b.submit[i].out && b.submit[i].sent >= n.heard)
         n.oldest = n.oldest == 0 ? b.submit[i].sent : std::min(n.oldest, b.submit[i].sent);
+    // Guards the cap against submits or answers lost on the way: one that the node's later answers have long
+    // overtaken no longer counts as load. Covers cut links and restarts too; one very big one may be meant.
+    for (int i = 0; i < b.submits; ++i) {
+      Submit& s = b.submit[i];
+      const auto patience = static_cast<Micros>(std::max(tightest_goal_, 4 * nodes_[s.node].lag));
+      if (!s.out || s.written_off || nodes_[s.node].heard < s.sent + patience) continue;
+      s.written_off = true;
+      log_drop(nodes_[s.node], b.io.units);
+    }
     if (!b.over && !b.streaming && now_ >= b.io.give_up_at) give_up(b);
   }
   // Guards against nodes that take work and answer none, whether hung, vanished or cut off.
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -261,6 +261,25 @@
   EXPECT_LE(trials, 3);
 }
 
+TEST_F(OneHead, SubmitsLostOnTheWayDoNotFillTheCap) {
+  start(1);
+  warm_up(1);
+  for (int i = 0; i < 2; ++i) take(0, 1, 2);  // these stay unanswered while all others are answered
+  head->settle();
+  ASSERT_EQ(head->out_at(0), 2);
+  for (int i = 0; i < 15; ++i) {
+    const auto id = take(0, 0, 1);
+    head->settle();
+    head->at(head->now + 40 * ms);
+    ASSERT_FALSE(head->taken[id].sent.empty());
+    head->end(id, 0, Result::ended);
+    head->settle();
+  }
+  const auto big = take(0, 0, 6);
+  head->settle();
+  EXPECT_EQ(head->taken[big].sent.size(), 1u);
+}
+
 TEST_F(OneHead, WhatHasNoNodeWaitsAndIsShedWhenItsGoalIsPast) {
   start(2);
   head->listed({entry(1, NodeState::draining)});
