A volume's use over all heads is read where only that is told

Guards against a volume that takes its reserve through other heads and is given it here again. Late reports may lag a shift of the busiest head by a period.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -313,8 +313,9 @@
     v.here *= keep;
     v.elsewhere *= keep;
     const double prior = usual_units_;
-    const double part = others_told_ ? (v.here + prior) / (v.here + v.elsewhere + prior * v.heads)
-                                     : std::pow(v.heads, -kUntoldPart);
+    const double part = others_told_ || use_told_
+                            ? (v.here + prior) / (v.here + v.elsewhere + prior * v.heads)
+                            : std::pow(v.heads, -kUntoldPart);
     v.reserve = std::min(v.reserve + due.reserve * part * dt, due.reserve * part + most_units_);
     v.share = std::min(v.share + due.share * part * dt, due.share * part);
     v.limit = std::min(v.limit + due.limit / v.heads * dt, due.burst / v.heads);
@@ -495,7 +496,7 @@
   std::vector<Group> groups_;
   std::vector<Due> due_;
   int heads_, own_number_, most_submits_;
-  bool may_probe_, takes_advice_, others_told_, list_asked_, sizes_told_;
+  bool use_told_, may_probe_, takes_advice_, others_told_, list_asked_, sizes_told_;
   Micros longest_advice_, ask_every_, overload_for_, warm_within_, turn_rest_, budget_span_;
   double tightest_goal_ = 0, threshold_, most_units_, usual_units_, share_gain_, beyond_gain_;
   double cold_bears_, cold_from_, fall_multiple_, budget_spare_, budget_share_;
@@ -519,6 +520,7 @@
       heads_(std::max(1, given.heads)),
       own_number_(given.own_number),
       most_submits_(std::min(given.most_submits, kPlaces)),
+      use_told_(given.meter_period > 0),
       may_probe_(given.may_probe),
       takes_advice_(given.takes_advice),
       others_told_(given.tells_elsewhere),
@@ -673,6 +675,12 @@
     fill(v, due_[b.io.plan]);
     if (a.result == Result::ended) v.here += b.io.units;
     v.elsewhere += a.from_others;
+    // Where only the use over all heads is told: what is not this head's own is the others'. Late, so kept
+    // smooth.
+    if (use_told_ && !others_told_ && a.volume_use > 0) {
+      const double all = (a.volume_use - 1) / 100.0 * due_[b.io.plan].nominal * kUseMemory / 1e6;
+      v.elsewhere = std::max(0.0, all - v.here);
+    }
   }
   if (groups_[b.io.group].keeps_order && b.io.object != 0 && s.may_have_run && !answer) {
     Line& line = lines_[b.io.object];
--- a/tests/bench_free.h
+++ b/tests/bench_free.h
@@ -101,7 +101,7 @@
     takes.push_back(now);
     head.take(io);
   }
-  void end(std::uint64_t id, int submit, Result result, int from_others = 0) {
+  void end(std::uint64_t id, int submit, Result result, int from_others = 0, int use = 0) {
     Taken& t = taken.at(id);
     Sent& s = t.sent[submit];
     s.out = false;
@@ -113,7 +113,7 @@
     if (result == Result::ended) all.by_cold[s.node].emplace_back(now, t.io.units);
     const bool over = t.over || result == Result::ended;
     t.over = over;
-    head.answered({id, submit, s.node, result, over, now - s.at, 0, from_others, {}});
+    head.answered({id, submit, s.node, result, over, now - s.at, use, from_others, {}});
   }
   void settle() {
     head.settle();
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -280,6 +280,27 @@
   EXPECT_EQ(head->taken[big].sent.size(), 1u);
 }
 
+TEST_F(OneHead, AVolumeServedElsewhereHasLessDueHereWhereOnlyItsUseIsTold) {
+  given.meter_period = second;
+  given.heads = 4;
+  std::map<int, std::size_t> sent;
+  for (const int use : {1, 1001}) {  // nothing, and ten times its rate
+    start(1);
+    for (int i = 0; i < 100; ++i) {
+      std::vector<std::uint64_t> ids;
+      for (int k = 0; k < 4; ++k) ids.push_back(take(0, 0, 3));
+      head->settle();
+      head->at(head->now + 150 * ms);
+      for (auto id : ids)
+        if (!head->taken[id].sent.empty() && head->taken[id].sent[0].out)
+          head->end(id, 0, Result::ended, 0, use);
+      head->settle();
+    }
+    sent[use] = head->order.size();
+  }
+  EXPECT_LT(sent[1001], sent[1]);
+}
+
 TEST_F(OneHead, WhatHasNoNodeWaitsAndIsShedWhenItsGoalIsPast) {
   start(2);
   head->listed({entry(1, NodeState::draining)});
