Clean-up of the module: one patience, one look for a read's node, dead state out

The longest wait for an answer stood twice, once for mute nodes and once for overtaken submits; the two walks over a block I/O's submits are one; a read's node was looked up twice at each settling; asked_, a reset left over from second copies, and two steps that could not find anything are gone.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -41,12 +41,11 @@
 constexpr double kFurtherMost = 10;
 constexpr double kColdMargin = 0.9;  // of the part of a cold node that is used
 constexpr double kColdProven = 0.5;  // of the rule's multiple of what a cold node served, that is sent again
-constexpr double kFitKeep = 0.93,
-                 kFitPrior =
-                     100;  // of a node's fit at each answer; units squared that a unit's own time counts for
-constexpr double kFitMemory = 3e6;  // without answers, until the fit is as good as none
-constexpr double kFitDark = 0.2;    // of a unit time for each head: when this one sends more, so do others
-constexpr int kPlaces = 8;          // submits a block I/O can have here, whatever is allowed
+constexpr double kFitKeep = 0.93;    // of a node's fit at each answer
+constexpr double kFitPrior = 100;    // units squared that a unit's own time counts for in it
+constexpr double kFitMemory = 3e6;   // without answers, until the fit is as good as none
+constexpr double kFitDark = 0.2;     // of a unit time for each head: when this one sends more, so do others
+constexpr int kPlaces = 8;           // submits a block I/O can have here, whatever is allowed
 
 }  // namespace
 
@@ -132,7 +131,6 @@
   int fit_count() const { return static_cast<int>(by_name_.size()); }
 
   void log_send(Node& n, double units) {
-    clock(n);
     n.load += units;
     ++n.out;
     n.sent.add(now_, overload_for_, units);
@@ -200,13 +198,15 @@
     return used + units <= part || (used == 0 && own_turn(overload_for_));
   }
 
+  // How long an answer may take before its absence means something.
+  double patience(const Node& n) const { return std::max(tightest_goal_, 4 * n.lag); }
+
   // How long the oldest submit there has waited with no answer of any kind since it left.
   double silence(const Node& n) const {
     return n.oldest > n.heard ? static_cast<double>(now_ - n.oldest) : 0;
   }
 
-  // How long so many units there would take, of which the block I/O is the last; unknown rates raise no
-  // doubt.
+  // How long so many units there would take, the block I/O last; unknown rates raise no doubt.
   double expected(const Bio& b, const Node& n, double units) const {
     if (mean_rate_ <= 0) return 0;
     const double fresh = std::exp(-static_cast<double>(now_ - n.heard) / kLagMemory);
@@ -236,12 +236,7 @@
   // shed as it comes. Covers every overload, whoever makes it; harms for a moment after a surge has gone.
   bool priced_out(const Bio& b, const Node& n) const { return n.load > 0 && b.gain < 0.999 * n.price; }
 
-  bool priced_out(const Bio& b) const {
-    if (b.submits > 0) return false;
-    if (b.io.shard >= 0) {
-      const int node = node_of_shard(b.io.shard);
-      return node >= 0 && priced_out(b, nodes_[node]);
-    }
+  bool priced_out_everywhere(const Bio& b) const {
     bool any = false;
     for (int i : by_name_) {
       if (nodes_[i].state != NodeState::ready || shut(nodes_[i])) continue;
@@ -477,7 +472,6 @@
       if (line.first < 0 && now_ >= line.rest_until) lines_.erase(b.io.object);
     }
     index_.drop(b.io.id);
-    held_.erase(std::remove(held_.begin(), held_.end(), at), held_.end());
     b.live = false;
     bios_.release(at);
   }
@@ -501,7 +495,7 @@
   double tightest_goal_ = 0, threshold_, most_units_, usual_units_, share_gain_, beyond_gain_;
   double cold_bears_, cold_from_, fall_multiple_, budget_spare_, budget_share_;
   double mean_rate_ = 0, unit_time_ = 0, luck_ = 0.5, further_ = 1;
-  Micros asked_ = 0, ask_at_ = 0;
+  Micros ask_at_ = 0;
   Slab<Bio> bios_;
   int most_place_ = 0;
   TicketIndex index_;
@@ -559,7 +553,6 @@
 // Watching costs a line a change; asking anew when all has been still covers a watch that broke unnoticed.
 void Head::Desk::ask_list() {
   out_.watch_list();
-  asked_ = now_;
   ask_at_ = now_ + ask_every_ * 3 / 4 + static_cast<Micros>(chance_() % 500'000);
 }
 
@@ -702,11 +695,13 @@
     const int at = held_[h];
     Bio& b = bios_[at];
     if (!b.held || b.over) continue;
-    if (now_ >= b.goal_at || priced_out(b)) {
+    int node = b.io.shard >= 0 ? node_of_shard(b.io.shard) : -1;
+    const bool dear = b.io.shard < 0 ? priced_out_everywhere(b) : node >= 0 && priced_out(b, nodes_[node]);
+    if (now_ >= b.goal_at || (b.submits == 0 && dear)) {
       give_up(b);
       continue;
     }
-    int node = b.io.shard >= 0 ? node_of_shard(b.io.shard) : place(b);
+    if (b.io.shard < 0) node = place(b);
     const bool ready =
         now_ >= b.not_before && has_turn(b) && within_limit(b) && (b.submits == 0 || further_allowed());
     if (ready && node >= 0 && !nodes_[node].blocked && !barred(b, node)) {
@@ -755,7 +750,6 @@
   double served = 0, busy = 0;
   for (Node& n : nodes_) {
     n.oldest = 0;
-    n.blocked = false;
     n.price *= std::exp(-static_cast<double>(kTick) / kPriceMemory);
     served += n.served;
     busy += n.busy;
@@ -764,24 +758,22 @@
   for (int at = 0; at < most_place_; ++at) {
     Bio& b = bios_[at];
     if (!b.live) continue;
-    for (int i = 0; i < b.submits; ++i)
-      if (Node& n = nodes_[b.submit[i].node]; b.submit[i].out && b.submit[i].sent >= n.heard)
-        n.oldest = n.oldest == 0 ? b.submit[i].sent : std::min(n.oldest, b.submit[i].sent);
-    // Guards the cap against submits or answers lost on the way: one that the node's later answers have long
-    // overtaken no longer counts as load. Covers cut links and restarts too; one very big one may be meant.
     for (int i = 0; i < b.submits; ++i) {
       Submit& s = b.submit[i];
-      const auto patience = static_cast<Micros>(std::max(tightest_goal_, 4 * nodes_[s.node].lag));
-      if (!s.out || s.written_off || nodes_[s.node].heard < s.sent + patience) continue;
+      Node& n = nodes_[s.node];
+      if (!s.out) continue;
+      if (s.sent >= n.heard) n.oldest = n.oldest == 0 ? s.sent : std::min(n.oldest, s.sent);
+      // Guards the cap against submits or answers lost on the way: one that the node's later answers have
+      // long overtaken no longer counts as load. Covers cut links and restarts; a very big one may be meant.
+      if (s.written_off || n.heard < s.sent + static_cast<Micros>(patience(n))) continue;
       s.written_off = true;
-      log_drop(nodes_[s.node], b.io.units);
+      log_drop(n, b.io.units);
     }
     if (!b.over && !b.streaming && now_ >= b.io.give_up_at) give_up(b);
   }
   // Guards against nodes that take work and answer none, whether hung, vanished or cut off.
   for (Node& n : nodes_) {
-    if (n.oldest > 0 && static_cast<double>(now_ - n.oldest) > std::max(tightest_goal_, 4 * n.lag))
-      n.mute = true;
+    if (n.oldest > 0 && static_cast<double>(now_ - n.oldest) > patience(n)) n.mute = true;
     if (n.listed && n.state != NodeState::gone && shut(n) && may_probe_ && now_ - n.tried >= kTrialEvery &&
         own_turn(kTrialEvery / heads_)) {
       n.tried = now_;
