The slope expected follows the heads of the block I/O's own volume

What grows with this head's sends are the sends of the other heads of the same volume, not of all heads. Replaces the bound of twelve heads.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -212,7 +212,7 @@
     const double fresh = std::exp(-static_cast<double>(now_ - n.heard) / kLagMemory);
     const Fit& f = n.fit;
     const double slope =
-        (std::max(0.0, f.cross()) + kFitPrior * kFitDark * std::min(heads_, 12) * unit_time_) / (f.spread() + kFitPrior);
+        (std::max(0.0, f.cross()) + kFitPrior * kFitDark * 2 * b.io.heads * unit_time_) / (f.spread() + kFitPrior);
     const double base = f.count > 0 ? f.lag / f.count - slope * f.load / f.count : 0;
     return std::max(
         std::max(0.0, base) * std::exp(-static_cast<double>(now_ - n.heard) / kFitMemory) + slope * units,
