--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -216,7 +216,7 @@
     const double base = f.count > 0 ? f.lag / f.count - slope * f.load / f.count : 0;
     return std::max(
         std::max(0.0, base) * std::exp(-static_cast<double>(now_ - n.heard) / kFitMemory) + slope * units,
-        std::max(silence(n) - n.lag, n.wait * fresh) + b.io.units * unit_time_);
+        std::max(silence(n), n.wait * fresh) + b.io.units * unit_time_);
   }
 
   bool in_time(const Bio& b, const Node& n, double units) const {
