--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -32,7 +32,7 @@
 constexpr double kUntoldPart = 0.6;    // a head's part of a volume is heads^-this where others are not told
 constexpr double kRoomReserve = 1.0, kRoomShare = 0.6, kRoomBeyond = 0.25;  // of the goal, by what is due
 constexpr double kPriceMemory = 2.5e6;  // over which a node's price fades when nothing is shed there
-constexpr double kLagMemory = 0.5e6;    // over which the last answers' lag stops telling of the wait
+constexpr double kLagMemory = 1.5e6;    // over which the last answers' lag stops telling of the wait
 constexpr double kUnitPart = 0.2, kUnitStep = 0.05;  // a unit's time unhindered: this quantile of lag a unit
 constexpr Micros kTick = 5'000;                      // within the slack that a final answer has
 constexpr int kStrikes = 3;                          // bad results in a row that shut a node
@@ -216,7 +216,7 @@
     const double base = f.count > 0 ? f.lag / f.count - slope * f.load / f.count : 0;
     return std::max(
         std::max(0.0, base) * std::exp(-static_cast<double>(now_ - n.heard) / kFitMemory) + slope * units,
-        std::max(silence(n), n.wait * fresh) + b.io.units * unit_time_);
+        std::max(silence(n), n.wait * fresh + wait_ * (1 - fresh)) + b.io.units * unit_time_);
   }
 
   bool in_time(const Bio& b, const Node& n, double units) const {
@@ -494,7 +494,7 @@
   Micros longest_advice_, ask_every_, overload_for_, warm_within_, turn_rest_, budget_span_;
   double tightest_goal_ = 0, threshold_, most_units_, usual_units_, share_gain_, beyond_gain_;
   double cold_bears_, cold_from_, fall_multiple_, budget_spare_, budget_share_;
-  double mean_rate_ = 0, unit_time_ = 0, luck_ = 0.5, further_ = 1;
+  double mean_rate_ = 0, unit_time_ = 0, wait_ = 0, luck_ = 0.5, further_ = 1;
   Micros ask_at_ = 0;
   Slab<Bio> bios_;
   int most_place_ = 0;
@@ -647,7 +647,9 @@
     unit_time_ += kUnitStep * unit_time_ * (own < unit_time_ ? kUnitPart - 1 : kUnitPart);
     n.fit.add(s.load, lag);
     n.lag += 0.3 * (lag - n.lag);
-    n.wait += 0.3 * (std::max(0.0, lag - b.io.units * unit_time_) - n.wait);
+    const double wait = std::max(0.0, lag - b.io.units * unit_time_);
+    n.wait += 0.3 * (wait - n.wait);
+    wait_ += 0.1 * (std::min(wait, 0.3 * tightest_goal_) - wait_);
     log_drop(n, counted);
   } else if (a.result == Result::not_sent || a.result == Result::called_off) {
     if (a.result == Result::not_sent && b.charged && untouched(b) && due_[b.io.plan].limit > 0) {
