Goals are reckoned from the client's first try

Cause: a retry, or what a head finds after standing still, got a whole new goal; it was served at full gain though only its late part could be earned, and kept out what could be in time. The first try began a hard limit before the client gives up. Also covers clients that repeat at once. Could harm where a client comes with a short time of its own: then its goal is taken for older than it is.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -70,7 +70,7 @@
     double gain = 0;                      // a unit's gain, by what its volume was still due when it came
     double of_reserve = 0, of_share = 0;  // units it drew there
     double room = 1;                      // part of its goal that may be spent waiting
-    bool live = false, held = false, over = false, charged = false, streaming = false;
+    bool live = false, held = false, over = false, charged = false, streaming = false, late = false;
     int submits = 0, outs = 0;
     std::array<Submit, kPlaces> submit;
     Step next = nullptr;
@@ -333,6 +333,7 @@
     b.room = (b.of_reserve * kRoomReserve + b.of_share * kRoomShare +
               (units - b.of_reserve - b.of_share) * kRoomBeyond) /
              units;
+    if (b.late) b.gain *= groups_[b.io.group].late_part, b.room = kRoomBeyond;
   }
 
   // What was not served in time leaves its due to the next of its volume.
@@ -607,7 +608,11 @@
   const double stretch = mean_rate_ > 0 ? g.goal_stretch * io.units / mean_rate_ : 0;
   // A client may come with less time than a goal, and what is held is looked at once a tick only: one tick is
   // kept back, or its answer comes after the client has gone.
-  b.goal_at = std::min(now_ + g.latency_goal + static_cast<Micros>(stretch), io.give_up_at - kTick);
+  // Against a goal reckoned from when this head happened to look: a client's time began a hard limit before it
+  // gives up, with its first try or while this head stood still.
+  const Micros began = std::min(now_, io.give_up_at - g.hard_limit);
+  b.goal_at = std::min(began + g.latency_goal + static_cast<Micros>(stretch), io.give_up_at - kTick);
+  if (b.goal_at <= now_ + kTick) b.goal_at = std::min(now_ + g.latency_goal, io.give_up_at - kTick), b.late = true;
   if (io.volume >= static_cast<int>(volumes_.size())) volumes_.resize(io.volume + 1);
   draw(b);
   further_ = std::min(kFurtherMost, further_ + kFurtherShare * luck_);
