--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -35,6 +35,7 @@
 constexpr double kLagMemory = 1.5e6;    // over which the last answers' lag stops telling of the wait
 constexpr double kUnitPart = 0.2, kUnitStep = 0.05;  // a unit's time unhindered: this quantile of lag a unit
 constexpr Micros kTick = 5'000;                      // within the slack that a final answer has
+constexpr Micros kStill = 8 * kTick;                 // without a wake-up: this head stood still
 constexpr int kStrikes = 3;                          // bad results in a row that shut a node
 constexpr Micros kTrialEvery = 500'000;
 constexpr double kFurtherShare = 0.2;  // further submits earned by each block I/O taken, at full luck
@@ -170,6 +171,17 @@
     return (n.served + prior * kRatePrior) / (n.busy + kRatePrior);
   }
 
+  void learn(Node& n, const Submit& s, double lag, double units) {
+    const double own = lag / units;
+    if (unit_time_ == 0) unit_time_ = own;
+    unit_time_ += kUnitStep * unit_time_ * (own < unit_time_ ? kUnitPart - 1 : kUnitPart);
+    n.fit.add(s.load, lag);
+    n.lag += 0.3 * (lag - n.lag);
+    const double wait = std::max(0.0, lag - units * unit_time_);
+    n.wait += 0.3 * (wait - n.wait);
+    wait_ += 0.1 * (std::min(wait, 0.3 * tightest_goal_) - wait_);
+  }
+
   bool cold(const Node& n) const { return n.up_since > 0 && now_ < n.up_since + warm_within_; }
 
   double warmth(const Node& n) const {
@@ -203,7 +215,7 @@
 
   // How long the oldest submit there has waited with no answer of any kind since it left.
   double silence(const Node& n) const {
-    return n.oldest > n.heard ? static_cast<double>(now_ - n.oldest) : 0;
+    return n.oldest > n.heard ? static_cast<double>(now_ - std::max(n.oldest, woken_)) : 0;
   }
 
   // How long so many units there would take, the block I/O last; unknown rates raise no doubt.
@@ -496,7 +508,7 @@
   double tightest_goal_ = 0, threshold_, most_units_, usual_units_, share_gain_, beyond_gain_;
   double cold_bears_, cold_from_, fall_multiple_, budget_spare_, budget_share_;
   double mean_rate_ = 0, unit_time_ = 0, wait_ = 0, luck_ = 0.5, further_ = 1;
-  Micros ask_at_ = 0;
+  Micros ask_at_ = 0, woken_ = 0;
   Slab<Bio> bios_;
   int most_place_ = 0;
   TicketIndex index_;
@@ -647,14 +659,7 @@
     n.done.add(now_, overload_for_, b.io.units);
     n.strikes = 0;
     n.mute = false;
-    const double lag = static_cast<double>(a.lag), own = lag / b.io.units;
-    if (unit_time_ == 0) unit_time_ = own;
-    unit_time_ += kUnitStep * unit_time_ * (own < unit_time_ ? kUnitPart - 1 : kUnitPart);
-    n.fit.add(s.load, lag);
-    n.lag += 0.3 * (lag - n.lag);
-    const double wait = std::max(0.0, lag - b.io.units * unit_time_);
-    n.wait += 0.3 * (wait - n.wait);
-    wait_ += 0.1 * (std::min(wait, 0.3 * tightest_goal_) - wait_);
+    if (now_ != woken_) learn(n, s, static_cast<double>(a.lag), b.io.units);
     log_drop(n, counted);
   } else if (a.result == Result::not_sent || a.result == Result::called_off) {
     if (a.result == Result::not_sent && b.charged && untouched(b) && due_[b.io.plan].limit > 0) {
@@ -780,7 +785,7 @@
   }
   // Guards against nodes that take work and answer none, whether hung, vanished or cut off.
   for (Node& n : nodes_) {
-    if (n.oldest > 0 && static_cast<double>(now_ - n.oldest) > patience(n)) n.mute = true;
+    if (n.oldest > 0 && static_cast<double>(now_ - std::max(n.oldest, woken_)) > patience(n)) n.mute = true;
     if (n.listed && n.state != NodeState::gone && shut(n) && may_probe_ && now_ - n.tried >= kTrialEvery &&
         own_turn(kTrialEvery / heads_)) {
       n.tried = now_;
@@ -792,7 +797,12 @@
 Head::Head(const Provisioning& given, Surroundings& out, Micros now)
     : desk_(std::make_unique<Desk>(given, out, now)) {}
 Head::~Head() = default;
-void Head::at(Micros now) { desk_->now_ = now; }
+// Against a head's own stand-still taken for the nodes': a wake-up comes every tick, so a longer gap is its own.
+// What comes first after it tells results, not lags. Harms a little when ticks are late for another reason.
+void Head::at(Micros now) {
+  if (now - desk_->now_ > kStill) desk_->woken_ = now;
+  desk_->now_ = now;
+}
 void Head::listed(ListKind kind, std::span<const NodeEntry> entries) { desk_->listed(kind, entries); }
 void Head::take(const BlockIo& bio) { desk_->take(bio); }
 void Head::answered(const Answer& answer) { desk_->answered(answer); }
