--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -179,7 +179,7 @@
     n.lag += 0.3 * (lag - n.lag);
     const double wait = std::max(0.0, lag - units * unit_time_);
     n.wait += 0.3 * (wait - n.wait);
-    wait_ += 0.1 * (std::min(wait, 0.3 * tightest_goal_) - wait_);
+    wait_ += 0.1 * (std::min(wait, tightest_goal_) - wait_);
   }
 
   bool cold(const Node& n) const { return n.up_since > 0 && now_ < n.up_since + warm_within_; }
