--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -45,7 +45,7 @@
 constexpr double kFitKeep = 0.93;    // of a node's fit at each answer
 constexpr double kFitPrior = 100;    // units squared that a unit's own time counts for in it
 constexpr double kFitMemory = 3e6;   // without answers, until the fit is as good as none
-constexpr double kFitDark = 0.2;     // of a unit time for each head: when this one sends more, so do others
+constexpr double kFitDark = 0.5;     // of a unit time for each head: when this one sends more, so do others
 constexpr int kPlaces = 8;           // submits a block I/O can have here, whatever is allowed
 
 }  // namespace
@@ -224,7 +224,7 @@
     const double fresh = std::exp(-static_cast<double>(now_ - n.heard) / kLagMemory);
     const Fit& f = n.fit;
     const double slope =
-        (std::max(0.0, f.cross()) + kFitPrior * kFitDark * 2 * b.io.heads * unit_time_) / (f.spread() + kFitPrior);
+        (std::max(0.0, f.cross()) + kFitPrior * kFitDark * std::sqrt(b.io.heads) * unit_time_) / (f.spread() + kFitPrior);
     const double base = f.count > 0 ? f.lag / f.count - slope * f.load / f.count : 0;
     return std::max(
         std::max(0.0, base) * std::exp(-static_cast<double>(now_ - n.heard) / kFitMemory) + slope * units,
