--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -231,8 +231,14 @@
         std::max(silence(n), n.wait * fresh + wait_ * (1 - fresh)) + b.io.units * unit_time_);
   }
 
+  // Only waiting is measured against the room; a large block I/O's own time is no wait.
+  bool within(const Bio& b, const Node& n, double units, double left) const {
+    const double own = b.io.units * unit_time_;
+    return expected(b, n, units) - own <= b.room * (left - own);
+  }
+
   bool in_time(const Bio& b, const Node& n, double units) const {
-    return expected(b, n, units) <= b.room * static_cast<double>(b.goal_at - now_);
+    return within(b, n, units, static_cast<double>(b.goal_at - now_));
   }
 
   // Guards tight goals against loose ones: what is sent can't be taken back, so what has time waits before
@@ -240,7 +246,7 @@
   // Harms loose goals at nodes that stay full.
   bool gate_open(const Bio& b, const Node& n) const {
     const double left = std::min(static_cast<double>(b.goal_at - now_), tightest_goal_);
-    return expected(b, n, n.load + b.io.units) <= b.room * left;
+    return within(b, n, n.load + b.io.units, left);
   }
 
   // Guards tight goals against loose ones: what earns little and can wait long would be served in full while
