--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -30,11 +30,12 @@
 constexpr double kShareRoom = 2.0;     // of the mean nominal: a volume's share by weight beyond its reserve
 constexpr double kUseMemory = 4e6;     // over which a volume's units here and elsewhere are compared
 constexpr double kUntoldPart = 0.6;    // a head's part of a volume is heads^-this where others are not told
-constexpr double kRoomReserve = 1.0, kRoomShare = 0.35, kRoomBeyond = 0.1;  // of the goal, by what is due
+constexpr double kRoomReserve = 1.0, kRoomShare = 0.45, kRoomBeyond = 0.15;  // of the goal, by what is due
 constexpr double kPriceMemory = 2.5e6;  // over which a node's price fades when nothing is shed there
 constexpr double kLagMemory = 1.5e6;    // over which the last answers' lag stops telling of the wait
 constexpr double kUnitPart = 0.2, kUnitStep = 0.05;  // a unit's time unhindered: this quantile of lag a unit
 constexpr Micros kTick = 5'000;                      // within the slack that a final answer has
+constexpr double kCalm = 2;  // unit times of average wait that count as pressure
 constexpr Micros kStill = 8 * kTick;                 // without a wake-up: this head stood still
 constexpr int kStrikes = 3;                          // bad results in a row that shut a node
 constexpr Micros kTrialEvery = 500'000;
@@ -233,7 +234,7 @@
 
   // Only waiting is measured against the room; a large block I/O's own time is no wait.
   bool within(const Bio& b, const Node& n, double units, double left) const {
-    const double own = b.io.units * unit_time_;
+    const double own = b.io.units * unit_time_ * std::exp(-wait_ / (kCalm * std::max(unit_time_, 1.0)));
     return expected(b, n, units) - own <= b.room * (left - own);
   }
 
