--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -35,7 +35,7 @@
 constexpr double kLagMemory = 1.5e6;    // over which the last answers' lag stops telling of the wait
 constexpr double kUnitPart = 0.2, kUnitStep = 0.05;  // a unit's time unhindered: this quantile of lag a unit
 constexpr Micros kTick = 5'000;                      // within the slack that a final answer has
-constexpr double kCalm = 2;  // unit times of average wait that count as pressure
+constexpr double kCalm = 0.12;  // of the tightest goal: an average wait that counts as pressure
 constexpr Micros kStill = 8 * kTick;                 // without a wake-up: this head stood still
 constexpr int kStrikes = 3;                          // bad results in a row that shut a node
 constexpr Micros kTrialEvery = 500'000;
@@ -232,10 +232,12 @@
         std::max(silence(n), n.wait * fresh + wait_ * (1 - fresh)) + b.io.units * unit_time_);
   }
 
-  // Only waiting is measured against the room; a large block I/O's own time is no wait.
+  // What is beyond the reserve may wait a part of its goal only, its own work counted in, so that it leaves the
+  // nodes to others under pressure. While this head's answers show little wait on average, it is held to less.
   bool within(const Bio& b, const Node& n, double units, double left) const {
-    const double own = b.io.units * unit_time_ * std::exp(-wait_ / (kCalm * std::max(unit_time_, 1.0)));
-    return expected(b, n, units) - own <= b.room * (left - own);
+    const double pressure = wait_ / (kCalm * tightest_goal_), calm = std::exp(-pressure * pressure);
+    const double own = b.io.units * unit_time_ * calm, room = b.room + (1 - b.room) * calm;
+    return expected(b, n, units) - own <= room * (left - own);
   }
 
   bool in_time(const Bio& b, const Node& n, double units) const {
