--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -30,7 +30,7 @@
 constexpr double kShareRoom = 2.0;     // of the mean nominal: a volume's share by weight beyond its reserve
 constexpr double kUseMemory = 4e6;     // over which a volume's units here and elsewhere are compared
 constexpr double kUntoldPart = 0.6;    // a head's part of a volume is heads^-this where others are not told
-constexpr double kRoomReserve = 1.0, kRoomShare = 0.6, kRoomBeyond = 0.25;  // of the goal, by what is due
+constexpr double kRoomReserve = 1.0, kRoomShare = 0.45, kRoomBeyond = 0.15;  // of the goal, by what is due
 constexpr double kPriceMemory = 2.5e6;  // over which a node's price fades when nothing is shed there
 constexpr double kLagMemory = 1.5e6;    // over which the last answers' lag stops telling of the wait
 constexpr double kUnitPart = 0.2, kUnitStep = 0.05;  // a unit's time unhindered: this quantile of lag a unit
