--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -32,7 +32,7 @@
 constexpr double kUntoldPart = 0.6;    // a head's part of a volume is heads^-this where others are not told
 constexpr double kRoomReserve = 1.0, kRoomShare = 0.45, kRoomBeyond = 0.15;  // of the goal, by what is due
 constexpr double kPriceMemory = 2.5e6;  // over which a node's price fades when nothing is shed there
-constexpr double kLagMemory = 1.5e6;    // over which the last answers' lag stops telling of the wait
+constexpr double kLagMemory = 0.4e6;    // over which the last answers' lag stops telling of the wait
 constexpr double kUnitPart = 0.2, kUnitStep = 0.05;  // a unit's time unhindered: this quantile of lag a unit
 constexpr Micros kTick = 5'000;                      // within the slack that a final answer has
 constexpr double kCalm = 0.12;  // of the tightest goal: an average wait that counts as pressure
@@ -222,7 +222,7 @@
   // How long so many units there would take, the block I/O last; unknown rates raise no doubt.
   double expected(const Bio& b, const Node& n, double units) const {
     if (mean_rate_ <= 0) return 0;
-    const double fresh = std::exp(-static_cast<double>(now_ - n.heard) / kLagMemory);
+    const double fresh = std::exp(-static_cast<double>(now_ - n.heard) / (kLagMemory + 2 * n.wait));
     const Fit& f = n.fit;
     const double slope =
         (std::max(0.0, f.cross()) + kFitPrior * kFitDark * std::sqrt(b.io.heads) * unit_time_) / (f.spread() + kFitPrior);
