A price rises only where a whole goal could not be met

Cause: a retry with 50 ms left that could not be in time set its full gain as the node's price, and all below it was shed there for seconds.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -753,7 +753,10 @@
     for (int w : walk_)
       if (bios_[w].held && bios_[w].waits_at == node && bios_[w].gain < bios_[least].gain) least = w;
     n.ahead -= bios_[least].io.units;
-    n.price = std::max(n.price, bios_[least].gain);
+    // A price is asked for a node too full for a whole goal, not for one try's want of time.
+    const Bio& shed = bios_[least];
+    if (!within(shed, n, n.ahead + shed.io.units, static_cast<double>(groups_[shed.io.group].latency_goal)))
+      n.price = std::max(n.price, shed.gain);
     give_up(bios_[least]);
   }
   std::erase_if(held_, [&](int at) { return !bios_[at].held; });
