--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -39,6 +39,7 @@
 constexpr Micros kStill = 8 * kTick;                 // without a wake-up: this head stood still
 constexpr int kStrikes = 3;                          // bad results in a row that shut a node
 constexpr Micros kTrialEvery = 500'000;
+constexpr int kTrialTurns = 10;  // of which a head has one: shorter ones than a few ticks would be missed
 constexpr double kFurtherShare = 0.2;  // further submits earned by each block I/O taken, at full luck
 constexpr double kFurtherMost = 10;
 constexpr double kColdMargin = 0.9;  // of the part of a cold node that is used
@@ -191,7 +192,8 @@
     return std::min(1.0, cold_from_ + (1 - cold_from_) * age / static_cast<double>(warm_within_));
   }
 
-  bool own_turn(Micros slot) const { return now_ / slot % heads_ == own_number_; }
+  // Heads take turns by number, several sharing one where there are more heads than turns.
+  bool own_turn(Micros slot, int turns) const { return now_ / slot % turns == own_number_ % turns; }
 
   bool shut(const Node& n) const { return n.mute || n.strikes >= kStrikes; }
 
@@ -201,14 +203,15 @@
     if (shut(n)) return false;
     if (n.out >= kMostOut || (n.load > 0 && n.load + units > cap(n))) return false;
     if (!cold(n)) return true;
-    // Guards a cold node against all heads together: each keeps to its part of what is surely borne. Where
-    // the part is less than one request, heads take turns by number. Harms only when other heads have no use
-    // for it.
+    // Guards a cold node against all heads together: each keeps to its part of what is surely borne, among as
+    // many heads as have use for a node at one time (by how many nodes this one has). Where the part is less
+    // than one request, heads take turns by number. Harms when the others have no use for it.
     const double used = n.sent.sum(now_, overload_for_);
+    const double part = cold_bears_ * kColdMargin * warmth(n) / cold_from_ / std::max(1.0, heads_ * reach_);
     // What it served this head lately is proof of more: if all heads keep to it, all stay under the multiple.
-    const double part = std::max(cold_bears_ * kColdMargin * warmth(n) / cold_from_ / heads_,
-                                 fall_multiple_ * kColdProven * n.done.sum(now_, overload_for_));
-    return used + units <= part || (used == 0 && own_turn(overload_for_));
+    const double proven = fall_multiple_ * kColdProven * n.done.sum(now_, overload_for_);
+    const int turns = std::clamp(static_cast<int>(std::ceil(usual_units_ / part)), 1, heads_);
+    return used + units <= std::max(part, proven) || (used == 0 && own_turn(overload_for_, turns));
   }
 
   // How long an answer may take before its absence means something.
@@ -268,14 +271,18 @@
   }
 
   // A shut node gets one trial at a time, heads in turn, so that its return is noticed and not a stampede.
-  bool trial(Node& n, const Bio& b) {
-    if (!shut(n) || groups_[b.io.group].repeat != Repeat::idempotent) return false;
-    if (now_ - n.tried < kTrialEvery || !own_turn(kTrialEvery / heads_)) return false;
-    if (cold(n) && n.sent.sum(now_, overload_for_) > 0) return false;
+  bool trial_due(Node& n) {
+    const int turns = std::min(heads_, kTrialTurns);
+    if (!shut(n) || now_ - n.tried < kTrialEvery || !own_turn(kTrialEvery / turns, turns)) return false;
     n.tried = now_;
     return true;
   }
 
+  bool trial(Node& n, const Bio& b) {
+    return groups_[b.io.group].repeat == Repeat::idempotent &&
+           !(cold(n) && n.sent.sum(now_, overload_for_) > 0) && trial_due(n);
+  }
+
   int node_of_shard(int shard) const {
     int best = -1;
     for (int i : by_name_) {
@@ -516,7 +523,7 @@
   Micros longest_advice_, ask_every_, overload_for_, warm_within_, turn_rest_, budget_span_;
   double tightest_goal_ = 0, threshold_, most_units_, usual_units_, share_gain_, beyond_gain_;
   double cold_bears_, cold_from_, fall_multiple_, budget_spare_, budget_share_;
-  double mean_rate_ = 0, unit_time_ = 0, wait_ = 0, luck_ = 0.5, further_ = 1;
+  double mean_rate_ = 0, unit_time_ = 0, wait_ = 0, reach_ = 1, luck_ = 0.5, further_ = 1;
   Micros ask_at_ = 0, woken_ = 0;
   Slab<Bio> bios_;
   int most_place_ = 0;
@@ -771,14 +778,17 @@
     if (l.until <= now_) log_drop(nodes_[l.node], l.units);
     return l.until <= now_;
   });
-  double served = 0, busy = 0;
+  double served = 0, busy = 0, used = 0;
   for (Node& n : nodes_) {
     n.oldest = 0;
+    used += n.sent.sum(now_, overload_for_) > 0;
     n.price *= std::exp(-static_cast<double>(kTick) / kPriceMemory);
     served += n.served;
     busy += n.busy;
   }
   if (busy > 0) mean_rate_ = served / busy;
+  const double of = used / std::max<double>(1, fit_count());
+  reach_ += (std::min(1.0, of) - reach_) * kTick / (2.0 * overload_for_);
   for (int at = 0; at < most_place_; ++at) {
     Bio& b = bios_[at];
     if (!b.live) continue;
@@ -798,11 +808,8 @@
   // Guards against nodes that take work and answer none, whether hung, vanished or cut off.
   for (Node& n : nodes_) {
     if (n.oldest > 0 && static_cast<double>(now_ - std::max(n.oldest, woken_)) > patience(n)) n.mute = true;
-    if (n.listed && n.state != NodeState::gone && shut(n) && may_probe_ && now_ - n.tried >= kTrialEvery &&
-        own_turn(kTrialEvery / heads_)) {
-      n.tried = now_;
+    if (n.listed && n.state != NodeState::gone && may_probe_ && trial_due(n))
       out_.probe(static_cast<int>(&n - &nodes_[0]));
-    }
   }
 }
 
