--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -17,17 +17,18 @@
     head->listed(entries, ListKind::cached);
     head->at(now);
   }
-  std::uint64_t take(int shard, int group = 0, int units = 2, int plan = 1, int volume = 0) {
+  std::uint64_t take(int shard, int group = 0, int units = 2, int plan = 1, int volume = 0, Micros since = 0,
+                     int heads = 1) {
     const Micros limit = given.groups[group].hard_limit;
     head->take({.id = ++last,
                 .object = last * 7919,
-                .give_up_at = head->now + limit,
+                .give_up_at = head->now + limit - since,
                 .group = group,
                 .plan = plan,
                 .volume = volume,
                 .shard = shard,
                 .units = units,
-                .heads = 1});
+                .heads = heads});
     return last;
   }
   // Reads that are answered after `lag`, so that the head learns what each node bears.
@@ -111,6 +112,8 @@
   given.heads = 4;
   start(1);
   warm_up(1);
+  warm_up(1, 250 * ms, 4);  // the answers show waits: pressure
+  pass(3 * second);
   const auto first = take(0, 0, 2);
   const auto loose = take(0, 1, 3, 0, 1), tight = take(0, 0, 2);
   head->settle();
@@ -119,7 +122,7 @@
   head->at(head->now + 60 * ms);
   head->end(first, 0, Result::ended);
   head->end(tight, 0, Result::ended);
-  pass(200 * ms);
+  warm_up(1, 40 * ms, 10);
   EXPECT_EQ(head->taken[loose].sent.size(), 1u);
 }
 
@@ -330,15 +333,7 @@
 TEST_F(OneHead, AClientWithLittleTimeIsAnsweredBetweenTwoTicks) {
   start(0);
   for (Micros left = 0; left < 40 * ms; left += ms) {
-    head->take({.id = ++last,
-                .object = 1,
-                .give_up_at = head->now + left,
-                .group = 0,
-                .plan = 1,
-                .volume = 0,
-                .shard = 0,
-                .units = 1,
-                .heads = 1});
+    take(0, 0, 1, 1, 0, given.groups[0].hard_limit - left);
     head->settle();
   }
   pass(100 * ms);
@@ -357,6 +352,66 @@
   EXPECT_GE(head->asks, 3);
 }
 
+TEST_F(OneHead, ManyHeadsDoNotMakeAnIdleNodeLookLate) {
+  given.heads = 200;
+  start(1);
+  warm_up(1);
+  const auto large = take(0, 0, 6, 1, 0, 0, 24);
+  head->settle();
+  EXPECT_EQ(head->taken[large].sent.size(), 1u);
+}
+
+TEST_F(OneHead, ItsOwnStandStillIsNotTakenForTheNodes) {
+  start(1);
+  warm_up(1);
+  std::vector<std::uint64_t> out;
+  for (int i = 0; i < 2; ++i) out.push_back(take(0)), head->settle();
+  ASSERT_EQ(head->out_at(0), 2);
+  head->now += 1200 * ms;  // no wake-up in between
+  head->head.at(head->now);
+  for (auto id : out) head->end(id, 0, Result::ended);
+  const auto next = take(0, 0, 2, 0);
+  head->settle();
+  EXPECT_EQ(head->taken[next].sent.size(), 1u);
+}
+
+TEST_F(OneHead, ARetryThatCanOnlyBeLateGivesWay) {
+  start(1);
+  warm_up(1), warm_up(1, 150 * ms, 8);
+  const auto late = take(0, 0, 2, 1, 0, second), fresh = take(0);
+  head->settle();
+  EXPECT_TRUE(head->taken[late].shed);
+  EXPECT_EQ(head->taken[fresh].sent.size(), 1u);
+}
+
+TEST_F(OneHead, ARetrysWantOfTimeSetsNoPrice) {
+  given.plans[0].weight = 0;
+  start(1);
+  warm_up(1);
+  const auto hasty = take(0, 0, 2, 1, 0, 280 * ms), first = take(0), low = take(0, 0, 2, 0, 1);
+  head->settle();
+  pass(5 * ms);
+  EXPECT_EQ(head->taken[first].sent.size(), 1u);
+  EXPECT_TRUE(head->taken[hasty].shed);
+  EXPECT_FALSE(head->taken[low].over);
+}
+
+TEST_F(OneHead, AmongManyHeadsEachGetsItsTurnAtAColdNodeWhileItWarms) {
+  given.heads = 200, given.own_number = 133;
+  start(8);
+  warm_up(1);
+  pass(20 * second);  // few nodes are used, so few heads use each node
+  head->listed({entry(0, NodeState::ready, head->now)});
+  std::size_t sent = 0;
+  for (int i = 0; i < 160; ++i) {
+    const auto id = take(0);
+    pass(100 * ms);
+    sent += head->taken[id].sent.size();
+  }
+  EXPECT_GE(sent, 1u);
+  EXPECT_LE(sent, 8u);
+}
+
 TEST_F(OneHead, AStartedStreamHasNoDeadline) {
   given.groups[0].streams = true;
   start(1);
