--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -260,16 +260,6 @@
   // shed as it comes. Covers every overload, whoever makes it; harms for a moment after a surge has gone.
   bool priced_out(const Bio& b, const Node& n) const { return n.load > 0 && b.gain < 0.999 * n.price; }
 
-  bool priced_out_everywhere(const Bio& b) const {
-    bool any = false;
-    for (int i : by_name_) {
-      if (nodes_[i].state != NodeState::ready || shut(nodes_[i])) continue;
-      if (!priced_out(b, nodes_[i])) return false;
-      any = true;
-    }
-    return any;
-  }
-
   // A shut node gets one trial at a time, heads in turn, so that its return is noticed and not a stampede.
   bool trial_due(Node& n) {
     const int turns = std::min(heads_, kTrialTurns);
@@ -724,7 +714,7 @@
     Bio& b = bios_[at];
     if (!b.held || b.over) continue;
     int node = b.io.shard >= 0 ? node_of_shard(b.io.shard) : -1;
-    const bool dear = b.io.shard < 0 ? priced_out_everywhere(b) : node >= 0 && priced_out(b, nodes_[node]);
+    const bool dear = node >= 0 && priced_out(b, nodes_[node]);
     if (now_ >= b.goal_at || (b.submits == 0 && dear)) {
       give_up(b);
       continue;
