--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -46,6 +46,7 @@
 constexpr double kColdProven = 0.5;  // of the rule's multiple of what a cold node served, that is sent again
 constexpr double kFitKeep = 0.93;    // of a node's fit at each answer
 constexpr double kFitPrior = 100;    // units squared that a unit's own time counts for in it
+constexpr double kFitMemory = 1e6;   // without answers, until the fit is as good as none
 constexpr double kFitDark = 0.5;     // of a unit time for each head: when this one sends more, so do others
 constexpr int kPlaces = 8;           // submits a block I/O can have here, whatever is allowed
 
@@ -229,7 +230,8 @@
     const double prior = kFitPrior * kFitDark * std::sqrt(b.io.heads) * unit_time_;
     const double slope = (std::max(0.0, f.cross()) + prior) / (f.spread() + kFitPrior);
     const double base = f.count > 0 ? f.lag / f.count - slope * f.load / f.count : 0;
-    return std::max(std::max(0.0, base) + slope * units,
+    const double kept = std::exp(-static_cast<double>(now_ - n.heard) / kFitMemory);
+    return std::max(std::max(0.0, base) * kept + slope * units,
                     std::max(silence(n), n.wait * fresh + wait_ * (1 - fresh)) + b.io.units * unit_time_);
   }
 
