--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -732,12 +732,7 @@
       }
       if (fits && in_time(b, n, n.ahead + b.io.units)) continue;  // before the gate
     }
-    if (node < 0 && b.io.shard < 0) {  // a new object waits where the wait is shortest
-      for (int i : by_name_)
-        if (!shut(nodes_[i]) && nodes_[i].state == NodeState::ready &&
-            (node < 0 || nodes_[i].ahead / rate(nodes_[i]) < nodes_[node].ahead / rate(nodes_[node])))
-          node = i;
-    }
+    if (node < 0 && b.io.shard < 0 && !by_name_.empty()) node = by_name_[b.io.object % by_name_.size()];
     if (node < 0) continue;
     Node& n = nodes_[node];
     if (b.io.shard >= 0) n.blocked = true;
