A unit's time is learned in large steps at first

Cause: a head with few answers kept a first slow one as a unit's time, and shed large block I/Os on idle nodes for their own work.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -175,8 +175,9 @@
 
   void learn(Node& n, const Submit& s, double lag, double units) {
     const double own = lag / units;
-    if (unit_time_ == 0) unit_time_ = own;
-    unit_time_ += kUnitStep * unit_time_ * (own < unit_time_ ? kUnitPart - 1 : kUnitPart);
+    // Large steps at first: a head with few answers would take long to unlearn that its first one was slow.
+    unit_time_ = unit_time_ == 0 ? own : unit_time_ * (1 + unit_step_ * (own < unit_time_ ? kUnitPart - 1 : kUnitPart));
+    unit_step_ = std::max(kUnitStep, 0.8 * unit_step_);
     n.fit.add(s.load, lag);
     n.lag += 0.3 * (lag - n.lag);
     const double wait = std::max(0.0, lag - units * unit_time_);
@@ -513,7 +514,7 @@
   Micros longest_advice_, ask_every_, overload_for_, warm_within_, turn_rest_, budget_span_;
   double tightest_goal_ = 0, threshold_, most_units_, usual_units_, share_gain_, beyond_gain_;
   double cold_bears_, cold_from_, fall_multiple_, budget_spare_, budget_share_;
-  double mean_rate_ = 0, unit_time_ = 0, wait_ = 0, reach_ = 1, luck_ = 0.5, further_ = 1;
+  double mean_rate_ = 0, unit_time_ = 0, unit_step_ = 0.5, wait_ = 0, reach_ = 1, luck_ = 0.5, further_ = 1;
   Micros ask_at_ = 0, woken_ = 0;
   Slab<Bio> bios_;
   int most_place_ = 0;
