--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -33,7 +33,7 @@
 constexpr double kRoomReserve = 1.0, kRoomShare = 0.45, kRoomBeyond = 0.15;  // of the goal, by what is due
 constexpr double kPriceMemory = 2.5e6;  // over which a node's price fades when nothing is shed there
 constexpr double kLagMemory = 0.1e6;    // over which the last answers' lag stops telling of the wait
-constexpr double kUnitPart = 0.2, kUnitStep = 0.05;  // a unit's time unhindered: this quantile of lag a unit
+constexpr double kUnitPart = 0.4, kUnitStep = 0.05;  // a unit's time unhindered: this quantile of lag a unit
 constexpr Micros kTick = 5'000;                      // within the slack that a final answer has
 constexpr double kCalm = 0.12;  // of the tightest goal: an average wait that counts as pressure
 constexpr Micros kStill = 8 * kTick;                 // without a wake-up: this head stood still
