--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -35,7 +35,7 @@
 constexpr double kLagMemory = 0.1e6;    // over which the last answers' lag stops telling of the wait
 constexpr double kUnitPart = 0.4, kUnitStep = 0.05;  // a unit's time unhindered: this quantile of lag a unit
 constexpr Micros kTick = 5'000;                      // within the slack that a final answer has
-constexpr double kCalm = 0.12;  // of the tightest goal: an average wait that counts as pressure
+constexpr double kCalm = 0.18;  // of the tightest goal: an average wait that counts as pressure
 constexpr Micros kStill = 8 * kTick;                 // without a wake-up: this head stood still
 constexpr int kStrikes = 3;                          // bad results in a row that shut a node
 constexpr Micros kTrialEvery = 500'000;
