--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -30,14 +30,14 @@
 constexpr double kShareRoom = 2.0;     // of the mean nominal: a volume's share by weight beyond its reserve
 constexpr double kUseMemory = 4e6;     // over which a volume's units here and elsewhere are compared
 constexpr double kUntoldPart = 0.6;    // a head's part of a volume is heads^-this where others are not told
-constexpr double kRoomReserve = 1.0, kRoomShare = 0.45, kRoomBeyond = 0.15;  // of the goal, by what is due
+constexpr double kRoomShare = 0.45, kRoomBeyond = 0.15;  // of the goal, by what is due; the reserve has all
 constexpr double kPriceMemory = 2.5e6;  // over which a node's price fades when nothing is shed there
 constexpr double kLagMemory = 0.1e6;    // over which the last answers' lag stops telling of the wait
 constexpr double kUnitPart = 0.4, kUnitStep = 0.05;  // a unit's time unhindered: this quantile of lag a unit
 constexpr Micros kTick = 5'000;                      // within the slack that a final answer has
-constexpr double kCalm = 0.18;  // of the tightest goal: an average wait that counts as pressure
-constexpr Micros kStill = 8 * kTick;                 // without a wake-up: this head stood still
-constexpr int kStrikes = 3;                          // bad results in a row that shut a node
+constexpr double kCalm = 0.18;        // of the tightest goal: an average wait that counts as pressure
+constexpr Micros kStill = 8 * kTick;  // without a wake-up: this head stood still
+constexpr int kStrikes = 3;           // bad results in a row that shut a node
 constexpr Micros kTrialEvery = 500'000;
 constexpr int kTrialTurns = 10;  // of which a head has one: shorter ones than a few ticks would be missed
 constexpr double kFurtherShare = 0.2;  // further submits earned by each block I/O taken, at full luck
@@ -176,7 +176,9 @@
   void learn(Node& n, const Submit& s, double lag, double units) {
     const double own = lag / units;
     // Large steps at first: a head with few answers would take long to unlearn that its first one was slow.
-    unit_time_ = unit_time_ == 0 ? own : unit_time_ * (1 + unit_step_ * (own < unit_time_ ? kUnitPart - 1 : kUnitPart));
+    unit_time_ = unit_time_ == 0
+                     ? own
+                     : unit_time_ * (1 + unit_step_ * (own < unit_time_ ? kUnitPart - 1 : kUnitPart));
     unit_step_ = std::max(kUnitStep, 0.8 * unit_step_);
     n.fit.add(s.load, lag);
     n.lag += 0.3 * (lag - n.lag);
@@ -220,7 +222,7 @@
 
   // How long the oldest submit there has waited with no answer of any kind since it left.
   double silence(const Node& n) const {
-    return n.oldest > n.heard ? static_cast<double>(now_ - std::max(n.oldest, woken_)) : 0;
+    return n.oldest > 0 && n.oldest >= n.heard ? static_cast<double>(now_ - std::max(n.oldest, woken_)) : 0;
   }
 
   // How long so many units there would take, the block I/O last; unknown rates raise no doubt.
@@ -236,8 +238,9 @@
                     std::max(silence(n), n.wait * fresh + wait_ * (1 - fresh)) + b.io.units * unit_time_);
   }
 
-  // What is beyond the reserve may wait a part of its goal only, its own work counted in, so that it leaves the
-  // nodes to others under pressure. While this head's answers show little wait on average, it is held to less.
+  // What is beyond the reserve may wait a part of its goal only, its own work counted in, so that it leaves
+  // the nodes to others under pressure. While this head's answers show little wait on average, it is held to
+  // less.
   bool within(const Bio& b, const Node& n, double units, double left) const {
     const double pressure = wait_ / (kCalm * tightest_goal_), calm = std::exp(-pressure * pressure);
     const double own = b.io.units * unit_time_ * calm, room = b.room + (1 - b.room) * calm;
@@ -298,7 +301,7 @@
         // Nodes restarted cold together look empty: while a warm one has room, new objects pass them by.
         if (n.state != NodeState::ready || n.blocked) continue;
         if (pass == 0 && cold(n)) continue;
-        if (barred(b, i) || refused(b, i) || priced_out(b, n) || !room(n, b.io.units)) continue;
+        if (barred(b, i) || priced_out(b, n) || !room(n, b.io.units)) continue;
         fit_.push_back(i);
       }
     if (fit_.empty()) return -1;
@@ -345,13 +348,10 @@
     b.of_share = std::clamp(v.share, 0.0, units - b.of_reserve);
     v.reserve -= b.of_reserve;
     v.share -= b.of_share;
-    const double part =
-        (b.of_reserve + b.of_share * share_gain_ + (units - b.of_reserve - b.of_share) * beyond_gain_) /
-        units;
-    b.gain = groups_[b.io.group].unit_gain * due.gain_factor * part;
-    b.room = (b.of_reserve * kRoomReserve + b.of_share * kRoomShare +
-              (units - b.of_reserve - b.of_share) * kRoomBeyond) /
-             units;
+    const double beyond = units - b.of_reserve - b.of_share;
+    b.gain = groups_[b.io.group].unit_gain * due.gain_factor / units *
+             (b.of_reserve + b.of_share * share_gain_ + beyond * beyond_gain_);
+    b.room = (b.of_reserve + b.of_share * kRoomShare + beyond * kRoomBeyond) / units;
     if (b.late) b.gain *= groups_[b.io.group].late_part, b.room = kRoomBeyond;
   }
 
@@ -377,10 +377,13 @@
            (g.repeat == Repeat::fingerprinted && g.scope == Scope::all);
   }
 
-  // Whether a submit to this node would break the promise of no second effect.
+  // Whether a submit to this node would break the promise of no second effect. A new object goes elsewhere
+  // once a node turned it away, even if that node still ranks well.
   bool barred(const Bio& b, int node) const {
     const Group& g = groups_[b.io.group];
     if (b.submits >= most_submits_ || b.outs > 0) return true;
+    for (int i = 0; i < b.submits; ++i)
+      if (b.io.shard < 0 && b.submit[i].node == node) return true;
     if (g.repeat == Repeat::idempotent || untouched(b)) return false;
     if (g.repeat == Repeat::side_effecting) return true;
     for (int i = 0; i < b.submits; ++i) {
@@ -393,13 +396,6 @@
     return false;
   }
 
-  // A new object goes elsewhere once a node turned it away, even if that node still ranks well.
-  bool refused(const Bio& b, int node) const {
-    for (int i = 0; i < b.submits; ++i)
-      if (b.submit[i].node == node && b.io.shard < 0) return true;
-    return false;
-  }
-
   bool further_allowed() {
     if (budget_span_ < 0) return further_ >= 1;
     while (!furthers_.empty() && furthers_.front() <= now_ - budget_span_) furthers_.pop_front();
@@ -627,11 +623,12 @@
   const double stretch = mean_rate_ > 0 ? g.goal_stretch * io.units / mean_rate_ : 0;
   // A client may come with less time than a goal, and what is held is looked at once a tick only: one tick is
   // kept back, or its answer comes after the client has gone.
-  // Against a goal reckoned from when this head happened to look: a client's time began a hard limit before it
-  // gives up, with its first try or while this head stood still.
+  // Against a goal reckoned from when this head happened to look: a client's time began a hard limit before
+  // it gives up, with its first try or while this head stood still.
   const Micros began = std::min(now_, io.give_up_at - g.hard_limit);
   b.goal_at = std::min(began + g.latency_goal + static_cast<Micros>(stretch), io.give_up_at - kTick);
-  if (b.goal_at <= now_ + kTick) b.goal_at = std::min(now_ + g.latency_goal, io.give_up_at - kTick), b.late = true;
+  if (b.goal_at <= now_ + kTick)
+    b.goal_at = std::min(now_ + g.latency_goal, io.give_up_at - kTick), b.late = true;
   if (io.volume >= static_cast<int>(volumes_.size())) volumes_.resize(io.volume + 1);
   draw(b);
   further_ = std::min(kFurtherMost, further_ + kFurtherShare * luck_);
@@ -793,7 +790,7 @@
   }
   // Guards against nodes that take work and answer none, whether hung, vanished or cut off.
   for (Node& n : nodes_) {
-    if (n.oldest > 0 && static_cast<double>(now_ - std::max(n.oldest, woken_)) > patience(n)) n.mute = true;
+    if (silence(n) > patience(n)) n.mute = true;
     if (n.listed && n.state != NodeState::gone && may_probe_ && trial_due(n))
       out_.probe(static_cast<int>(&n - &nodes_[0]));
   }
@@ -802,8 +799,9 @@
 Head::Head(const Provisioning& given, Surroundings& out, Micros now)
     : desk_(std::make_unique<Desk>(given, out, now)) {}
 Head::~Head() = default;
-// Against a head's own stand-still taken for the nodes': a wake-up comes every tick, so a longer gap is its own.
-// What comes first after it tells results, not lags. Harms a little when ticks are late for another reason.
+// Against a head's own stand-still taken for the nodes': a wake-up comes every tick, so a longer gap is its
+// own. What comes first after it tells results, not lags. Harms a little when ticks are late for another
+// reason.
 void Head::at(Micros now) {
   if (now - desk_->now_ > kStill) desk_->woken_ = now;
   desk_->now_ = now;
