--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -130,7 +130,6 @@
     double units;
   };
 
-  // ---- the statistic log -------------------------------------------------------------------------------
   int fit_count() const { return static_cast<int>(by_name_.size()); }
 
   void log_send(Node& n, double units) {
@@ -158,7 +157,6 @@
     n.probability = even;
   }
 
-  // ---- what a node bears -------------------------------------------------------------------------------
   void clock(Node& n) {
     const double dt = static_cast<double>(now_ - n.clocked);
     n.clocked = now_;
@@ -225,7 +223,9 @@
     return n.oldest > 0 && n.oldest >= n.heard ? static_cast<double>(now_ - std::max(n.oldest, woken_)) : 0;
   }
 
-  // How long so many units there would take, the block I/O last; unknown rates raise no doubt.
+  // How long so many units there would take, the block I/O last; unknown rates raise no doubt. A node not
+  // heard lately counts as average, the longer the more, and a long queue is remembered longer than a short
+  // pause.
   double expected(const Bio& b, const Node& n, double units) const {
     if (mean_rate_ <= 0) return 0;
     const double fresh = std::exp(-static_cast<double>(now_ - n.heard) / (kLagMemory + 2 * n.wait));
@@ -238,9 +238,9 @@
                     std::max(silence(n), n.wait * fresh + wait_ * (1 - fresh)) + b.io.units * unit_time_);
   }
 
-  // What is beyond the reserve may wait a part of its goal only, its own work counted in, so that it leaves
-  // the nodes to others under pressure. While this head's answers show little wait on average, it is held to
-  // less.
+  // What is beyond the reserve may wait a part of its goal only, its own work counted in, and so leaves nodes
+  // to others under pressure; while this head's answers show little wait it is held to less. Harms when
+  // others are under pressure that this head doesn't meet.
   bool within(const Bio& b, const Node& n, double units, double left) const {
     const double pressure = wait_ / (kCalm * tightest_goal_), calm = std::exp(-pressure * pressure);
     const double own = b.io.units * unit_time_ * calm, room = b.room + (1 - b.room) * calm;
@@ -292,7 +292,6 @@
   // Harms when one big block I/O was the slow one: then new objects pass by the node for a moment.
   double weight(const Node& n) const { return std::max(n.load, mean_rate_ * std::max(n.lag, silence(n))); }
 
-  // ---- where a new object lands ------------------------------------------------------------------------
   int place(const Bio& b) {
     fit_.clear();
     for (int pass = 0; pass < 2 && fit_.empty(); ++pass)
@@ -316,13 +315,11 @@
     return weight(nodes_[home]) - weight(nodes_[target]) > threshold_ ? target : home;
   }
 
-  // ---- what a volume is due ----------------------------------------------------------------------------
   void fill(Volume& v, const Due& due) {
     if (v.filled < 0) {
       v.reserve = due.reserve + most_units_;
       v.share = due.share;
-      v.filled =
-          now_;  // the store of a limit starts empty: a head started anew can't know what it used before
+      v.filled = now_;  // the store of a limit starts empty: what was used before a start isn't known
     }
     const double dt = static_cast<double>(now_ - v.filled) / 1e6;
     v.filled = now_;
@@ -363,7 +360,6 @@
     b.of_reserve = b.of_share = 0;
   }
 
-  // ---- the rules on repeating --------------------------------------------------------------------------
   bool untouched(const Bio& b) const {
     if (b.outs > 0) return false;
     for (int i = 0; i < b.submits; ++i)
@@ -418,7 +414,6 @@
     return v.limit >= b.io.units;
   }
 
-  // ---- steps of a block I/O ----------------------------------------------------------------------------
   void send(Bio& b, int node) {
     Submit& s = b.submit[b.submits++];
     s = {.node = node,
@@ -492,7 +487,6 @@
     bios_.release(at);
   }
 
-  // ---- the calls ---------------------------------------------------------------------------------------
   void listed(ListKind kind, std::span<const NodeEntry> entries);
   void take(const BlockIo& io);
   void answered(const Answer& a);
@@ -684,8 +678,7 @@
     fill(v, due_[b.io.plan]);
     if (a.result == Result::ended) v.here += b.io.units;
     v.elsewhere += a.from_others;
-    // Where only the use over all heads is told: what is not this head's own is the others'. Late, so kept
-    // smooth.
+    // Where only the use over all heads is told, what is not this head's own is the others'.
     if (use_told_ && !others_told_ && a.volume_use > 0) {
       const double all = (a.volume_use - 1) / 100.0 * due_[b.io.plan].nominal * kUseMemory / 1e6;
       v.elsewhere = std::max(0.0, all - v.here);
@@ -799,9 +792,8 @@
 Head::Head(const Provisioning& given, Surroundings& out, Micros now)
     : desk_(std::make_unique<Desk>(given, out, now)) {}
 Head::~Head() = default;
-// Against a head's own stand-still taken for the nodes': a wake-up comes every tick, so a longer gap is its
-// own. What comes first after it tells results, not lags. Harms a little when ticks are late for another
-// reason.
+// Guards against a head's own stand-still taken for the nodes': a wake-up comes every tick, a longer gap is
+// its own, and what comes first after it tells results, not lags. Harms a little where ticks are late anyway.
 void Head::at(Micros now) {
   if (now - desk_->now_ > kStill) desk_->woken_ = now;
   desk_->now_ = now;
