--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -30,9 +30,7 @@
 constexpr double kShareRoom = 2.0;     // of the mean nominal: a volume's share by weight beyond its reserve
 constexpr double kUseMemory = 4e6;     // over which a volume's units here and elsewhere are compared
 constexpr double kUntoldPart = 0.6;    // a head's part of a volume is heads^-this where others are not told
-// Of the goal, by what is due (the reserve has all): at a head that hears of no node, and more at one that
-// hears of all, because it knows better when waiting pays.
-constexpr double kRoomShare = 0.45, kRoomBeyond = 0.15, kRoomShareHeard = 0.15, kRoomBeyondHeard = 0.1;
+constexpr double kRoomShare = 0.45, kRoomBeyond = 0.15;  // of the goal, by what is due; the reserve has all
 constexpr double kPriceMemory = 2.5e6;  // over which a node's price fades when nothing is shed there
 constexpr double kLagMemory = 0.1e6;    // over which the last answers' lag stops telling of the wait
 constexpr double kUnitPart = 0.4, kUnitStep = 0.05;  // a unit's time unhindered: this quantile of lag a unit
@@ -337,8 +335,6 @@
     v.limit = std::min(v.limit + due.limit / v.heads * dt, due.burst / v.heads);
   }
 
-  double room_beyond() const { return kRoomBeyond + kRoomBeyondHeard * reach_; }
-
   void draw(Bio& b) {
     Volume& v = volumes_[b.io.volume];
     const Due& due = due_[b.io.plan];
@@ -352,9 +348,8 @@
     const double beyond = units - b.of_reserve - b.of_share;
     b.gain = groups_[b.io.group].unit_gain * due.gain_factor / units *
              (b.of_reserve + b.of_share * share_gain_ + beyond * beyond_gain_);
-    b.room = (b.of_reserve + b.of_share * (kRoomShare + kRoomShareHeard * reach_) + beyond * room_beyond()) /
-             units;
-    if (b.late) b.gain *= groups_[b.io.group].late_part, b.room = room_beyond();
+    b.room = (b.of_reserve + b.of_share * kRoomShare + beyond * kRoomBeyond) / units;
+    if (b.late) b.gain *= groups_[b.io.group].late_part, b.room = kRoomBeyond;
   }
 
   // What was not served in time leaves its due to the next of its volume.
