--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -235,7 +235,7 @@
     const double base = f.count > 0 ? f.lag / f.count - slope * f.load / f.count : 0;
     const double kept = std::exp(-static_cast<double>(now_ - n.heard) / kFitMemory);
     return std::max(std::max(0.0, base) * kept + slope * units,
-                    std::max(silence(n), n.wait * fresh + wait_ * (1 - fresh)) + b.io.units * unit_time_);
+                    std::max(silence(n) - n.lag, n.wait * fresh + wait_ * (1 - fresh)) + b.io.units * unit_time_);
   }
 
   // What is beyond the reserve may wait a part of its goal only, its own work counted in, and so leaves nodes
