--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -669,8 +669,7 @@
     // Guards against a node that sheds its counted units by quick errors and then looks lightest: the units
     // stay for as long as a good answer may take. Also catches full queues and refused connections.
     if (a.result != Result::turned_away) ++n.strikes;
-    const double usual = n.lag > 0 ? std::min(tightest_goal_, 2 * n.lag) : tightest_goal_;
-    lingers_.push_back({std::max(now_, s.sent + static_cast<Micros>(usual)), s.node, counted});
+    lingers_.push_back({std::max(now_, s.sent + static_cast<Micros>(tightest_goal_)), s.node, counted});
   }
   if (s.further) luck_ += 0.1 * ((a.result == Result::ended && now_ <= b.goal_at ? 1.0 : 0.0) - luck_);
   luck_ = std::max(luck_, 0.05);
