Tidied: one home_of for the default node, calm reckoned once an answer, no state for lateness

The default's hash stood in two places; calm's exponential was taken for every look at a held block I/O; lateness was kept in each block I/O though only its draw asks for it; a comment still spoke of all heads.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -47,8 +47,9 @@
 constexpr double kFitKeep = 0.93;    // of a node's fit at each answer
 constexpr double kFitPrior = 100;    // units squared that a unit's own time counts for in it
 constexpr double kFitMemory = 1e6;   // without answers, until the fit is as good as none
-constexpr double kFitDark = 0.5;     // of a unit time for each head: when this one sends more, so do others
-constexpr int kPlaces = 8;           // submits a block I/O can have here, whatever is allowed
+constexpr double kFitDark =
+    0.5;                    // of a unit time, times the root of the volume's heads: they send more together
+constexpr int kPlaces = 8;  // submits a block I/O can have here, whatever is allowed
 
 }  // namespace
 
@@ -73,7 +74,7 @@
     double gain = 0;                      // a unit's gain, by what its volume was still due when it came
     double of_reserve = 0, of_share = 0;  // units it drew there
     double room = 1;                      // part of its goal that may be spent waiting
-    bool live = false, held = false, over = false, charged = false, streaming = false, late = false;
+    bool live = false, held = false, over = false, charged = false, streaming = false;
     int submits = 0, outs = 0;
     std::array<Submit, kPlaces> submit;
     Step next = nullptr;
@@ -183,6 +184,8 @@
     const double wait = std::max(0.0, lag - units * unit_time_);
     n.wait += 0.3 * (wait - n.wait);
     wait_ += 0.1 * (std::min(wait, tightest_goal_) - wait_);
+    const double pressure = wait_ / (kCalm * tightest_goal_);
+    calm_ = std::exp(-pressure * pressure);
   }
 
   bool cold(const Node& n) const { return n.up_since > 0 && now_ < n.up_since + warm_within_; }
@@ -234,16 +237,16 @@
     const double slope = (std::max(0.0, f.cross()) + prior) / (f.spread() + kFitPrior);
     const double base = f.count > 0 ? f.lag / f.count - slope * f.load / f.count : 0;
     const double kept = std::exp(-static_cast<double>(now_ - n.heard) / kFitMemory);
-    return std::max(std::max(0.0, base) * kept + slope * units,
-                    std::max(silence(n) - n.lag, n.wait * fresh + wait_ * (1 - fresh)) + b.io.units * unit_time_);
+    return std::max(
+        std::max(0.0, base) * kept + slope * units,
+        std::max(silence(n) - n.lag, n.wait * fresh + wait_ * (1 - fresh)) + b.io.units * unit_time_);
   }
 
   // What is beyond the reserve may wait a part of its goal only, its own work counted in, and so leaves nodes
   // to others under pressure; while this head's answers show little wait it is held to less. Harms when
   // others are under pressure that this head doesn't meet.
   bool within(const Bio& b, const Node& n, double units, double left) const {
-    const double pressure = wait_ / (kCalm * tightest_goal_), calm = std::exp(-pressure * pressure);
-    const double own = b.io.units * unit_time_ * calm, room = b.room + (1 - b.room) * calm;
+    const double own = b.io.units * unit_time_ * calm_, room = b.room + (1 - b.room) * calm_;
     return expected(b, n, units) - own <= room * (left - own);
   }
 
@@ -292,6 +295,8 @@
   // Harms when one big block I/O was the slow one: then new objects pass by the node for a moment.
   double weight(const Node& n) const { return std::max(n.load, mean_rate_ * std::max(n.lag, silence(n))); }
 
+  int home_of(const Bio& b) const { return by_name_[b.io.object % by_name_.size()]; }
+
   int place(const Bio& b) {
     fit_.clear();
     for (int pass = 0; pass < 2 && fit_.empty(); ++pass)
@@ -304,7 +309,7 @@
         fit_.push_back(i);
       }
     if (fit_.empty()) return -1;
-    const int home = by_name_[b.io.object % by_name_.size()];
+    const int home = home_of(b);
     const bool home_fit = std::find(fit_.begin(), fit_.end(), home) != fit_.end();
     std::stable_sort(fit_.begin(), fit_.end(),
                      [&](int x, int y) { return nodes_[x].probability > nodes_[y].probability; });
@@ -335,7 +340,7 @@
     v.limit = std::min(v.limit + due.limit / v.heads * dt, due.burst / v.heads);
   }
 
-  void draw(Bio& b) {
+  void draw(Bio& b, bool late) {
     Volume& v = volumes_[b.io.volume];
     const Due& due = due_[b.io.plan];
     v.heads = std::max(v.heads, b.io.heads);
@@ -349,7 +354,7 @@
     b.gain = groups_[b.io.group].unit_gain * due.gain_factor / units *
              (b.of_reserve + b.of_share * share_gain_ + beyond * beyond_gain_);
     b.room = (b.of_reserve + b.of_share * kRoomShare + beyond * kRoomBeyond) / units;
-    if (b.late) b.gain *= groups_[b.io.group].late_part, b.room = kRoomBeyond;
+    if (late) b.gain *= groups_[b.io.group].late_part, b.room = kRoomBeyond;
   }
 
   // What was not served in time leaves its due to the next of its volume.
@@ -504,7 +509,8 @@
   Micros longest_advice_, ask_every_, overload_for_, warm_within_, turn_rest_, budget_span_;
   double tightest_goal_ = 0, threshold_, most_units_, usual_units_, share_gain_, beyond_gain_;
   double cold_bears_, cold_from_, fall_multiple_, budget_spare_, budget_share_;
-  double mean_rate_ = 0, unit_time_ = 0, unit_step_ = 0.5, wait_ = 0, reach_ = 1, luck_ = 0.5, further_ = 1;
+  double mean_rate_ = 0, unit_time_ = 0, unit_step_ = 0.5, wait_ = 0, calm_ = 1, reach_ = 1, luck_ = 0.5,
+         further_ = 1;
   Micros ask_at_ = 0, woken_ = 0;
   Slab<Bio> bios_;
   int most_place_ = 0;
@@ -621,10 +627,10 @@
   // it gives up, with its first try or while this head stood still.
   const Micros began = std::min(now_, io.give_up_at - g.hard_limit);
   b.goal_at = std::min(began + g.latency_goal + static_cast<Micros>(stretch), io.give_up_at - kTick);
-  if (b.goal_at <= now_ + kTick)
-    b.goal_at = std::min(now_ + g.latency_goal, io.give_up_at - kTick), b.late = true;
+  const bool late = b.goal_at <= now_ + kTick;
+  if (late) b.goal_at = std::min(now_ + g.latency_goal, io.give_up_at - kTick);
   if (io.volume >= static_cast<int>(volumes_.size())) volumes_.resize(io.volume + 1);
-  draw(b);
+  draw(b, late);
   further_ = std::min(kFurtherMost, further_ + kFurtherShare * luck_);
   if (budget_span_ >= 0) takes_.push_back(now_);
   if (g.keeps_order && io.object != 0) {
@@ -723,7 +729,7 @@
       }
       if (fits && in_time(b, n, n.ahead + b.io.units)) continue;  // before the gate
     }
-    if (node < 0 && b.io.shard < 0 && !by_name_.empty()) node = by_name_[b.io.object % by_name_.size()];
+    if (node < 0 && b.io.shard < 0 && !by_name_.empty()) node = home_of(b);
     if (node < 0) continue;
     Node& n = nodes_[node];
     if (b.io.shard >= 0) n.blocked = true;
