The module in its package: a turn costs what is in hand, nothing is kept for ever

A head that runs for months scanned every place ever used, sorted the nodes for each held new object, and kept every node, volume and rested line. With nothing idempotent at hand and no probes, a shut node stayed shut for ever.

--- a/src/rules.cpp
+++ b/src/rules/rules.cpp
@@ -48,8 +48,10 @@
 constexpr double kFitPrior = 100;    // units squared that a unit's own time counts for in it
 constexpr double kFitMemory = 1e6;   // without answers, until the fit is as good as none
 constexpr double kFitDark =
-    0.5;                    // of a unit time, times the root of the volume's heads: they send more together
-constexpr int kPlaces = 8;  // submits a block I/O can have here, whatever is allowed
+    0.5;  // of a unit time, times the root of the volume's heads: they send more together
+constexpr Micros kTrialRare = 4 * kTrialEvery;  // without a trial, until any first submit may be one
+constexpr Micros kForget = 60'000'000;          // a volume unused for longer has its stores full again
+constexpr int kPlaces = 8;                      // submits a block I/O can have here, whatever is allowed
 
 }  // namespace
 
@@ -78,32 +80,23 @@
     int submits = 0, outs = 0;
     std::array<Submit, kPlaces> submit;
     Step next = nullptr;
-    int waits_at = -1, behind = -1;  // its node while held; the next of its key, where order is kept
-  };
-
-  // Lag against units out, the newest answers counting most: what a node takes whatever is out, and for each
-  // unit.
-  struct Fit {
-    double count = 0, load = 0, lag = 0, load2 = 0, load_lag = 0;
-    void add(double x, double y) {
-      for (double* v : {&count, &load, &lag, &load2, &load_lag}) *v *= kFitKeep;
-      count += 1, load += x, lag += y, load2 += x * x, load_lag += x * y;
-    }
-    double spread() const { return count > 0 ? std::max(0.0, load2 - load * load / count) : 0; }
-    double cross() const { return count > 0 ? load_lag - load * lag / count : 0; }
+    int behind = -1, before = -1;  // its neighbours in the line of its key, where order is kept
   };
 
   struct Node {
     std::string name;
-    Fit fit;
+    FadingFit fit;  // lag against units out: what a node takes whatever is out, and for each unit
     bool listed = false, mute = false;
     NodeState state = NodeState::gone;
     int shard = -1, zone = 0, out = 0, strikes = 0;
     double size = 1, load = 0, probability = 0;
     double served = 0, busy = 0, lag = 0, wait = 0, ahead = 0, price = 0;
-    Micros up_since = 0, clocked = 0, heard = 0, oldest = 0, tried = 0;
+    Micros up_since = 0, clocked = 0, heard = 0, oldest = 0, tried = 0, fine = 0;
     bool blocked = false;
     SlidingSum sent, done;
+    std::uint64_t seen = 0;                             // the turn that the next line was reckoned in
+    double fresh = 0, kept = 0, cross = 0, spread = 0;  // parts of expected() that hold for a whole turn
+    LeastFirst waiting;                                 // there this turn, by gain
   };
 
   struct Volume {
@@ -179,7 +172,7 @@
                      ? own
                      : unit_time_ * (1 + unit_step_ * (own < unit_time_ ? kUnitPart - 1 : kUnitPart));
     unit_step_ = std::max(kUnitStep, 0.8 * unit_step_);
-    n.fit.add(s.load, lag);
+    n.fit.add(s.load, lag, kFitKeep);
     n.lag += 0.3 * (lag - n.lag);
     const double wait = std::max(0.0, lag - units * unit_time_);
     n.wait += 0.3 * (wait - n.wait);
@@ -229,35 +222,39 @@
   // How long so many units there would take, the block I/O last; unknown rates raise no doubt. A node not
   // heard lately counts as average, the longer the more, and a long queue is remembered longer than a short
   // pause.
-  double expected(const Bio& b, const Node& n, double units) const {
+  double expected(const Bio& b, Node& n, double units) const {
     if (mean_rate_ <= 0) return 0;
-    const double fresh = std::exp(-static_cast<double>(now_ - n.heard) / (kLagMemory + 2 * n.wait));
-    const Fit& f = n.fit;
+    const FadingFit& f = n.fit;
+    if (n.seen != turn_) {
+      n.seen = turn_;
+      n.fresh = std::exp(-static_cast<double>(now_ - n.heard) / (kLagMemory + 2 * n.wait));
+      n.kept = std::exp(-static_cast<double>(now_ - n.heard) / kFitMemory);
+      n.cross = f.cross(), n.spread = f.spread();
+    }
     const double prior = kFitPrior * kFitDark * std::sqrt(b.io.heads) * unit_time_;
-    const double slope = (std::max(0.0, f.cross()) + prior) / (f.spread() + kFitPrior);
-    const double base = f.count > 0 ? f.lag / f.count - slope * f.load / f.count : 0;
-    const double kept = std::exp(-static_cast<double>(now_ - n.heard) / kFitMemory);
+    const double slope = (std::max(0.0, n.cross) + prior) / (n.spread + kFitPrior);
+    const double base = f.count > 0 ? f.y / f.count - slope * f.x / f.count : 0;
     return std::max(
-        std::max(0.0, base) * kept + slope * units,
-        std::max(silence(n) - n.lag, n.wait * fresh + wait_ * (1 - fresh)) + b.io.units * unit_time_);
+        std::max(0.0, base) * n.kept + slope * units,
+        std::max(silence(n) - n.lag, n.wait * n.fresh + wait_ * (1 - n.fresh)) + b.io.units * unit_time_);
   }
 
   // What is beyond the reserve may wait a part of its goal only, its own work counted in, and so leaves nodes
   // to others under pressure; while this head's answers show little wait it is held to less. Harms when
   // others are under pressure that this head doesn't meet.
-  bool within(const Bio& b, const Node& n, double units, double left) const {
+  bool within(const Bio& b, Node& n, double units, double left) const {
     const double own = b.io.units * unit_time_ * calm_, room = b.room + (1 - b.room) * calm_;
     return expected(b, n, units) - own <= room * (left - own);
   }
 
-  bool in_time(const Bio& b, const Node& n, double units) const {
+  bool in_time(const Bio& b, Node& n, double units) const {
     return within(b, n, units, static_cast<double>(b.goal_at - now_));
   }
 
   // Guards tight goals against loose ones: what is sent can't be taken back, so what has time waits before
   // the gate until the node is as short of work as the tightest goal wants it. It holds nobody back there.
   // Harms loose goals at nodes that stay full.
-  bool gate_open(const Bio& b, const Node& n) const {
+  bool gate_open(const Bio& b, Node& n) const {
     const double left = std::min(static_cast<double>(b.goal_at - now_), tightest_goal_);
     return within(b, n, n.load + b.io.units, left);
   }
@@ -275,19 +272,41 @@
     return true;
   }
 
+  // Guards against a node shut for ever where nothing idempotent comes its way and probing is not allowed:
+  // after a long rest any first submit is a trial, which breaks no promise. Also heals all nodes at once
+  // after a common cause; harms the one block I/O that finds the node still sick.
+  bool rarely_tried(const Node& n) const {
+    return !may_probe_ && shut(n) && now_ - std::max(n.tried, n.fine) >= kTrialRare;
+  }
+
   bool trial(Node& n, const Bio& b) {
-    return groups_[b.io.group].repeat == Repeat::idempotent &&
+    return (groups_[b.io.group].repeat == Repeat::idempotent || (b.submits == 0 && rarely_tried(n))) &&
            !(cold(n) && n.sent.sum(now_, overload_for_) > 0) && trial_due(n);
   }
 
   int node_of_shard(int shard) const {
-    int best = -1;
+    return shard < static_cast<int>(holders_.size()) ? holders_[shard] : -1;
+  }
+
+  void find_holders() {
+    holders_.assign(holders_.size(), -1);
+    forsaken_.clear();
     for (int i : by_name_) {
       const Node& n = nodes_[i];
-      if (n.shard != shard || n.state != NodeState::ready) continue;
+      if (n.shard < 0 || n.state != NodeState::ready) continue;
+      if (n.shard >= static_cast<int>(holders_.size())) holders_.resize(n.shard + 1, -1);
+      int& best = holders_[n.shard];
       if (best < 0 || (shut(nodes_[best]) && !shut(n))) best = i;
+      if (rarely_tried(n)) forsaken_.push_back(i);
     }
-    return best;
+  }
+
+  // The shut node, if any, that a new object is to try because nothing else does.
+  int try_forsaken(const Bio& b) {
+    if (b.submits > 0) return -1;
+    for (int i : forsaken_)
+      if (rarely_tried(nodes_[i]) && trial(nodes_[i], b)) return i;
+    return -1;
   }
 
   // Guards against nodes loaded by others, slowed or paused, which the own log shows light: a load is never
@@ -298,6 +317,10 @@
   int home_of(const Bio& b) const { return by_name_[b.io.object % by_name_.size()]; }
 
   int place(const Bio& b) {
+    // Within a turn nodes only fill and prices only rise: what found no room tells for all as large that
+    // earn no more. Guards the turn's length when many new objects are held.
+    const std::size_t size = std::min<std::size_t>(b.io.units, full_for_.size() - 1);
+    if (b.gain <= full_for_[size]) return -1;
     fit_.clear();
     for (int pass = 0; pass < 2 && fit_.empty(); ++pass)
       for (int i : by_name_) {
@@ -308,7 +331,11 @@
         if (barred(b, i) || priced_out(b, n) || !room(n, b.io.units)) continue;
         fit_.push_back(i);
       }
-    if (fit_.empty()) return -1;
+    if (fit_.empty()) {
+      for (std::size_t u = size; b.submits == 0 && u < full_for_.size(); ++u)
+        full_for_[u] = std::max(full_for_[u], b.gain);
+      return -1;
+    }
     const int home = home_of(b);
     const bool home_fit = std::find(fit_.begin(), fit_.end(), home) != fit_.end();
     std::stable_sort(fit_.begin(), fit_.end(),
@@ -443,8 +470,7 @@
   void hold(int at) {
     Bio& b = bios_[at];
     b.held = true;
-    auto later = [&](int x, int y) { return bios_[x].goal_at < bios_[y].goal_at; };
-    held_.insert(std::upper_bound(held_.begin(), held_.end(), at, later), at);
+    joined_.push_back(at);
   }
 
   void after_submit(Bio& b, const Answer& a) {
@@ -465,6 +491,7 @@
     b.over = true;
     b.held = false;
     b.next = &Desk::after_over;
+    done_.push_back(static_cast<int>(&b - &bios_[0]));
   }
 
   void give_up(Bio& b) {
@@ -480,19 +507,18 @@
     if (!b.live || !b.over || b.outs > 0) return;
     if (groups_[b.io.group].keeps_order && b.io.object != 0) {
       Line& line = lines_[b.io.object];
-      int* link = &line.first;
-      int before = -1;
-      while (*link != at) before = *link, link = &bios_[*link].behind;
-      *link = b.behind;
-      if (line.last == at) line.last = before;
-      if (line.first < 0 && now_ >= line.rest_until) lines_.erase(b.io.object);
+      unlink(bios_, line, at);
+      if (line.first < 0) rests_.push_back({line.rest_until, b.io.object});
     }
     index_.drop(b.io.id);
     b.live = false;
+    hand_.drop(at);
     bios_.release(at);
   }
 
   void listed(ListKind kind, std::span<const NodeEntry> entries);
+  bool forget_node(int node);
+  bool forget_volume(int volume);
   void take(const BlockIo& io);
   void answered(const Answer& a);
   void settle();
@@ -513,14 +539,18 @@
          further_ = 1;
   Micros ask_at_ = 0, woken_ = 0;
   Slab<Bio> bios_;
-  int most_place_ = 0;
+  std::uint64_t turn_ = 1;
   TicketIndex index_;
   std::vector<Node> nodes_;
-  std::vector<int> by_name_, fit_, held_, walk_;
+  std::vector<int> by_name_, fit_, joined_, done_, holders_, forsaken_;
+  SortedPlaces held_;
+  DensePlaces hand_;
+  std::vector<double> full_for_;  // by units: the most gain that found no room this turn
   std::vector<Volume> volumes_;
   std::vector<Linger> lingers_;
   std::deque<Micros> takes_, furthers_;
   std::unordered_map<std::uint64_t, Line> lines_;
+  std::deque<std::pair<Micros, std::uint64_t>> rests_;  // lines without a block I/O, until their rest is over
 };
 
 Head::Desk::Desk(const Provisioning& given, Surroundings& out, Micros now)
@@ -562,6 +592,7 @@
   for (const Plan& p : given.plans)
     due_.push_back(
         {p.reserve, kShareRoom * nominal * p.weight / weights, p.limit, p.burst, p.gain_factor, p.nominal});
+  full_for_.resize(static_cast<std::size_t>(std::clamp(most_units_, 1.0, 1024.0)) + 2);
   if (list_asked_) ask_list();
   out_.wake(0, kTick);
 }
@@ -614,7 +645,7 @@
 void Head::Desk::take(const BlockIo& io) {
   const int at = bios_.claim();
   Bio& b = bios_[at];
-  most_place_ = std::max(most_place_, at + 1);
+  hand_.add(at);
   b.io = io;
   b.live = true;
   b.next = &Desk::after_submit;
@@ -632,11 +663,13 @@
   if (io.volume >= static_cast<int>(volumes_.size())) volumes_.resize(io.volume + 1);
   draw(b, late);
   further_ = std::min(kFurtherMost, further_ + kFurtherShare * luck_);
-  if (budget_span_ >= 0) takes_.push_back(now_);
+  if (budget_span_ >= 0) {
+    takes_.push_back(now_);
+    while (takes_.front() < now_ - budget_span_) takes_.pop_front();
+  }
   if (g.keeps_order && io.object != 0) {
     Line& line = lines_[io.object];
-    (line.first < 0 ? line.first : bios_[line.last].behind) = at;
-    line.last = at;
+    link_last(bios_, line, at);
   }
   hold(at);
 }
@@ -700,14 +733,18 @@
 
 // Walks the held ones, earliest deadline first: each leaves, waits, or makes room for one worth more.
 void Head::Desk::settle() {
+  ++turn_;
   for (Node& n : nodes_) {
     clock(n);
     n.ahead = n.load;
     n.blocked = false;
+    n.waiting.clear();
   }
-  walk_.clear();
-  for (std::size_t h = 0; h < held_.size(); ++h) {
-    const int at = held_[h];
+  held_.join(joined_, [&](int x, int y) { return bios_[x].goal_at < bios_[y].goal_at; });
+  find_holders();
+  std::fill(full_for_.begin(), full_for_.end(), -1.0);
+  int turn = 0;
+  for (int at : held_) {
     Bio& b = bios_[at];
     if (!b.held || b.over) continue;
     int node = b.io.shard >= 0 ? node_of_shard(b.io.shard) : -1;
@@ -716,9 +753,15 @@
       give_up(b);
       continue;
     }
-    if (b.io.shard < 0) node = place(b);
     const bool ready =
         now_ >= b.not_before && has_turn(b) && within_limit(b) && (b.submits == 0 || further_allowed());
+    if (b.io.shard < 0) {
+      if (const int shut = ready && !forsaken_.empty() ? try_forsaken(b) : -1; shut >= 0) {
+        send(b, shut);
+        continue;
+      }
+      node = place(b);
+    }
     if (ready && node >= 0 && !nodes_[node].blocked && !barred(b, node)) {
       Node& n = nodes_[node];
       const bool fits = room(n, b.io.units), open = gate_open(b, n);
@@ -734,13 +777,11 @@
     Node& n = nodes_[node];
     if (b.io.shard >= 0) n.blocked = true;
     n.ahead += b.io.units;
-    b.waits_at = node;
-    walk_.push_back(at);
+    n.waiting.add(b.gain, turn++, at);
     if (in_time(b, n, n.ahead)) continue;
     // Under pressure what earns least makes room, of those that wait at this node no later than this one.
-    int least = at;
-    for (int w : walk_)
-      if (bios_[w].held && bios_[w].waits_at == node && bios_[w].gain < bios_[least].gain) least = w;
+    while (!bios_[n.waiting.least().at].held) n.waiting.drop_least();
+    const int least = n.waiting.least().gain < b.gain ? n.waiting.least().at : at;
     n.ahead -= bios_[least].io.units;
     // A price is asked for a node too full for a whole goal, not for one try's want of time.
     const Bio& shed = bios_[least];
@@ -748,9 +789,34 @@
       n.price = std::max(n.price, shed.gain);
     give_up(bios_[least]);
   }
-  std::erase_if(held_, [&](int at) { return !bios_[at].held; });
-  for (int at = 0; at < most_place_; ++at)
-    if (bios_[at].live && bios_[at].over) let_go(at);
+  held_.keep([&](int at) { return bios_[at].held; });
+  for (int at : done_) let_go(at);
+  done_.clear();
+}
+
+// Where what a name stood for has gone, its small index may pass to another once nothing in hand speaks of
+// it.
+bool Head::Desk::forget_node(int node) {
+  if (node >= static_cast<int>(nodes_.size())) return true;
+  Node& n = nodes_[node];
+  if (n.listed || n.out > 0) return false;
+  for (const Linger& l : lingers_)
+    if (l.node == node) return false;
+  for (int at : hand_)
+    for (int i = 0; i < bios_[at].submits; ++i)
+      if (bios_[at].submit[i].node == node) return false;
+  n = Node{};
+  return true;
+}
+
+bool Head::Desk::forget_volume(int volume) {
+  if (volume >= static_cast<int>(volumes_.size())) return true;
+  Volume& v = volumes_[volume];
+  if (v.filled >= 0 && now_ - v.filled < kForget) return false;
+  for (int at : hand_)
+    if (bios_[at].io.volume == volume) return false;
+  v = Volume{};
+  return true;
 }
 
 void Head::Desk::tick() {
@@ -763,6 +829,7 @@
   double served = 0, busy = 0, used = 0;
   for (Node& n : nodes_) {
     n.oldest = 0;
+    if (!shut(n)) n.fine = now_;
     used += n.sent.sum(now_, overload_for_) > 0;
     n.price *= std::exp(-static_cast<double>(kTick) / kPriceMemory);
     served += n.served;
@@ -771,9 +838,12 @@
   if (busy > 0) mean_rate_ = served / busy;
   const double of = used / std::max<double>(1, fit_count());
   reach_ += (std::min(1.0, of) - reach_) * kTick / (2.0 * overload_for_);
-  for (int at = 0; at < most_place_; ++at) {
+  for (; !rests_.empty() && rests_.front().first <= now_; rests_.pop_front()) {
+    auto line = lines_.find(rests_.front().second);
+    if (line != lines_.end() && line->second.first < 0 && now_ >= line->second.rest_until) lines_.erase(line);
+  }
+  for (int at : hand_) {
     Bio& b = bios_[at];
-    if (!b.live) continue;
     for (int i = 0; i < b.submits; ++i) {
       Submit& s = b.submit[i];
       Node& n = nodes_[s.node];
@@ -809,6 +879,15 @@
 void Head::answered(const Answer& answer) { desk_->answered(answer); }
 void Head::woke(std::uint64_t) { desk_->tick(); }
 void Head::settle() { desk_->settle(); }
+bool Head::forget_node(int node) { return desk_->forget_node(node); }
+bool Head::forget_volume(int volume) { return desk_->forget_volume(volume); }
+
+Head::Footprint Head::footprint() const {
+  const Desk& d = *desk_;
+  return {d.hand_.size(),  d.held_.size(),
+          d.nodes_.size(), d.volumes_.size(),
+          d.lines_.size(), d.takes_.size() + d.furthers_.size() + d.lingers_.size() + d.rests_.size()};
+}
 
 void Head::stream_started(std::uint64_t id, int) {
   if (const int at = desk_->index_.find(id); at >= 0) desk_->bios_[at].streaming = true;
@@ -820,6 +899,7 @@
 }
 
 void Head::probed(int node, Result result, Micros, const LoadReport&) {
+  if (node >= static_cast<int>(desk_->nodes_.size())) return;
   Desk::Node& n = desk_->nodes_[node];
   if (result != Result::ended) return;
   n.heard = desk_->now_;
--- a/src/rules.h
+++ b/src/rules/rules.h
@@ -115,7 +115,15 @@
   void probed(int node, Result result, Micros lag, const LoadReport& report);
   void client_left(std::uint64_t id);
   void woke(std::uint64_t token);
-  void settle();  // once after the calls of one moment: this is where the held ones leave
+  // Whether a small index may now stand for another name: a node gone from the list that nothing in hand has
+  // been sent to, a volume long unused. What was learned of it is dropped.
+  bool forget_node(int node);
+  bool forget_volume(int volume);
+  struct Footprint {
+    std::size_t in_hand, held, nodes, volumes, lines, marks;
+  };
+  Footprint footprint() const;  // what is kept in memory, counted
+  void settle();                // once after the calls of one moment: this is where the held ones leave
 
  private:
   class Desk;
--- a/src/slab.h
+++ b/src/rules/slab.h
@@ -1,5 +1,6 @@
-// Mechanics only: a slab with reused places, a ticket index over it, a hash and a sliding sum.
+// Mechanics only: a slab with reused places, an index and orders over its places, a hash, sums that fade.
 #pragma once
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -40,6 +41,99 @@
   std::vector<int> free_;
 };
 
+// Places in no order, each added once; dropping one costs the same however many there are.
+class DensePlaces {
+ public:
+  void add(int at) {
+    if (at >= static_cast<int>(where_.size())) where_.resize(at + 1);
+    where_[at] = static_cast<int>(all_.size());
+    all_.push_back(at);
+  }
+  void drop(int at) {
+    all_[where_[at]] = all_.back();
+    where_[all_.back()] = where_[at];
+    all_.pop_back();
+  }
+  std::size_t size() const { return all_.size(); }
+  auto begin() const { return all_.begin(); }
+  auto end() const { return all_.end(); }
+
+ private:
+  std::vector<int> all_, where_;
+};
+
+// Places in order; new ones are merged in together, each after its equals.
+class SortedPlaces {
+ public:
+  template <class Sooner>
+  void join(std::vector<int>& joining, Sooner sooner) {
+    if (joining.empty()) return;
+    std::stable_sort(joining.begin(), joining.end(), sooner);
+    spare_.resize(all_.size() + joining.size());
+    std::merge(all_.begin(), all_.end(), joining.begin(), joining.end(), spare_.begin(), sooner);
+    all_.swap(spare_);
+    joining.clear();
+  }
+  template <class Wanted>
+  void keep(Wanted wanted) {
+    std::erase_if(all_, [&](int at) { return !wanted(at); });
+  }
+  std::size_t size() const { return all_.size(); }
+  auto begin() const { return all_.begin(); }
+  auto end() const { return all_.end(); }
+
+ private:
+  std::vector<int> all_, spare_;
+};
+
+// A heap of places by gain, the least first, equals by turn.
+class LeastFirst {
+ public:
+  struct Entry {
+    double gain;
+    int turn, at;
+    bool operator<(const Entry& o) const { return gain != o.gain ? gain > o.gain : turn > o.turn; }
+  };
+  void clear() { heap_.clear(); }
+  void add(double gain, int turn, int at) {
+    heap_.push_back({gain, turn, at});
+    std::push_heap(heap_.begin(), heap_.end());
+  }
+  const Entry& least() const { return heap_.front(); }
+  void drop_least() {
+    std::pop_heap(heap_.begin(), heap_.end());
+    heap_.pop_back();
+  }
+
+ private:
+  std::vector<Entry> heap_;
+};
+
+// A line of places linked through their fields before and behind; ends in fields first and last, -1: none.
+template <class T, class Line>
+void link_last(Slab<T>& slab, Line& line, int at) {
+  (line.first < 0 ? line.first : slab[line.last].behind) = at;
+  slab[at].before = line.last;
+  line.last = at;
+}
+template <class T, class Line>
+void unlink(Slab<T>& slab, Line& line, int at) {
+  const T& t = slab[at];
+  (t.before < 0 ? line.first : slab[t.before].behind) = t.behind;
+  (t.behind < 0 ? line.last : slab[t.behind].before) = t.before;
+}
+
+// A straight line fitted through points, of which the newest count most.
+struct FadingFit {
+  double count = 0, x = 0, y = 0, x2 = 0, xy = 0;
+  void add(double at, double value, double keep) {
+    for (double* v : {&count, &x, &y, &x2, &xy}) *v *= keep;
+    count += 1, x += at, y += value, x2 += at * at, xy += at * value;
+  }
+  double spread() const { return count > 0 ? std::max(0.0, x2 - x * x / count) : 0; }
+  double cross() const { return count > 0 ? xy - x * y / count : 0; }
+};
+
 // Open addressing from a 64-bit id to a place; allocates only when it grows.
 class TicketIndex {
  public:
