The running head: wire, carrier, list follower, catalogue, HTTP door and the daemon's loop

Packages by concern: frames on msgpack, connections that know what the socket took, submits that end once with what may have run told apart, a followed list kept on disk, a catalogue on LMDB that answers after its commit, an HTTP/1.1 door, and one loop that tells the module what happens.

--- /dev/null
+++ b/cmake/program.cmake
@@ -0,0 +1,42 @@
+# The program: libraries a package each, then the executables.
+find_package(CLI11 REQUIRED)
+find_package(spdlog REQUIRED)
+find_package(valijson QUIET)
+find_package(Threads REQUIRED)
+add_compile_definitions(ASIO_STANDALONE MSGPACK_NO_BOOST)
+
+set(schemas ${CMAKE_BINARY_DIR}/schemas.cpp)
+file(GLOB schema_files CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/schema/*.json)
+add_custom_command(OUTPUT ${schemas}
+  COMMAND ${CMAKE_COMMAND} -DIN=${CMAKE_SOURCE_DIR}/schema -DOUT=${schemas} -P ${CMAKE_SOURCE_DIR}/cmake/embed.cmake
+  DEPENDS ${schema_files} ${CMAKE_SOURCE_DIR}/cmake/embed.cmake)
+
+function(yewmount_package name)
+  cmake_parse_arguments(P "" "" "SOURCES;USES" ${ARGN})
+  add_library(yewmount_${name} STATIC ${P_SOURCES})
+  target_include_directories(yewmount_${name} PUBLIC ${CMAKE_SOURCE_DIR}/src ${CMAKE_SOURCE_DIR})
+  target_link_libraries(yewmount_${name} PUBLIC ${P_USES})
+endfunction()
+
+yewmount_package(base SOURCES src/base/base.cpp USES spdlog::spdlog nlohmann_json::nlohmann_json)
+yewmount_package(wire SOURCES src/wire/wire.cpp)
+yewmount_package(net SOURCES src/net/link.cpp USES yewmount_wire Threads::Threads)
+yewmount_package(settings SOURCES src/settings/checked.cpp src/settings/head.cpp ${schemas}
+                 USES yewmount_base yewmount_rules)
+yewmount_package(carrier SOURCES src/carrier/carrier.cpp USES yewmount_net yewmount_base yewmount_rules)
+yewmount_package(list SOURCES src/list/follower.cpp USES yewmount_net yewmount_settings yewmount_rules)
+yewmount_package(catalogue SOURCES src/catalogue/store.cpp src/catalogue/server.cpp src/catalogue/client.cpp
+                 USES yewmount_net yewmount_base lmdb)
+yewmount_package(door SOURCES src/door/session.cpp USES yewmount_net yewmount_base http_parser)
+yewmount_package(head SOURCES src/head/daemon.cpp
+                 USES yewmount_carrier yewmount_list yewmount_catalogue yewmount_door yewmount_settings)
+
+function(yewmount_program name)
+  cmake_parse_arguments(P "" "" "SOURCES;USES" ${ARGN})
+  add_executable(${name} ${P_SOURCES})
+  target_link_libraries(${name} PRIVATE ${P_USES} CLI11::CLI11)
+  set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+endfunction()
+
+yewmount_program(yewmountd SOURCES src/head/main.cpp USES yewmount_head)
+yewmount_program(yewmount-catalogue SOURCES src/catalogue/main.cpp USES yewmount_catalogue)
--- /dev/null
+++ b/src/base/base.cpp
@@ -0,0 +1,125 @@
+#include "base/base.h"
+
+#include <fcntl.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <chrono>
+#include <cstring>
+#include <filesystem>
+#include <random>
+
+namespace yewmount {
+
+std::int64_t monotonic_now() {
+  using namespace std::chrono;
+  return duration_cast<microseconds>(steady_clock::now().time_since_epoch()).count();
+}
+
+std::int64_t wall_now() {
+  using namespace std::chrono;
+  return duration_cast<microseconds>(system_clock::now().time_since_epoch()).count();
+}
+
+std::uint64_t fresh_number() {
+  std::random_device device;
+  return static_cast<std::uint64_t>(device()) << 32 | device();
+}
+
+namespace logs {
+namespace {
+
+std::shared_ptr<spdlog::logger> logger;
+std::string who;
+
+void say(spdlog::level::level_enum level, std::string_view event, const nlohmann::ordered_json& fields) {
+  if (!logger || !logger->should_log(level)) return;
+  std::string rest;
+  if (fields.is_object() && !fields.empty()) {
+    rest = fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    rest = ',' + rest.substr(1, rest.size() - 2);
+  }
+  const nlohmann::json name(event);
+  logger->log(level, "{}\"event\":{}{}}}", who, name.dump(), rest);
+}
+
+}  // namespace
+
+void start(std::string_view program, std::string_view name) {
+  auto sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
+  logger = std::make_shared<spdlog::logger>("log", sink);
+  logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%fZ","level":"%l",%v)", spdlog::pattern_time_type::utc);
+  logger->flush_on(spdlog::level::info);
+  who = "\"program\":" + nlohmann::json(program).dump() + ",\"name\":" + nlohmann::json(name).dump() + ",";
+}
+
+bool level(std::string_view level) {
+  static constexpr std::pair<std::string_view, spdlog::level::level_enum> words[] = {
+      {"debug", spdlog::level::debug},
+      {"info", spdlog::level::info},
+      {"warn", spdlog::level::warn},
+      {"error", spdlog::level::err}};
+  for (const auto& [word, value] : words)
+    if (word == level) {
+      if (logger) logger->set_level(value);
+      return true;
+    }
+  return false;
+}
+
+void debug(std::string_view e, const nlohmann::ordered_json& f) { say(spdlog::level::debug, e, f); }
+void info(std::string_view e, const nlohmann::ordered_json& f) { say(spdlog::level::info, e, f); }
+void warn(std::string_view e, const nlohmann::ordered_json& f) { say(spdlog::level::warn, e, f); }
+void error(std::string_view e, const nlohmann::ordered_json& f) { say(spdlog::level::err, e, f); }
+
+}  // namespace logs
+
+namespace {
+
+struct Descriptor {
+  int fd;
+  ~Descriptor() {
+    if (fd >= 0) ::close(fd);
+  }
+};
+
+std::string failed(const std::string& what) { return what + ": " + std::strerror(errno); }
+
+}  // namespace
+
+std::string read_file(const std::string& path, std::string& bytes) {
+  Descriptor file{::open(path.c_str(), O_RDONLY | O_CLOEXEC)};
+  if (file.fd < 0) return failed("can't open " + path);
+  bytes.clear();
+  char part[65536];
+  for (ssize_t n; (n = ::read(file.fd, part, sizeof part)) != 0;) {
+    if (n < 0 && errno == EINTR) continue;
+    if (n < 0) return failed("can't read " + path);
+    bytes.append(part, static_cast<std::size_t>(n));
+  }
+  return {};
+}
+
+std::string write_file(const std::string& path, std::string_view bytes) {
+  const std::string beside = path + ".new";
+  {
+    Descriptor file{::open(beside.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644)};
+    if (file.fd < 0) return failed("can't create " + beside);
+    while (!bytes.empty()) {
+      const ssize_t n = ::write(file.fd, bytes.data(), bytes.size());
+      if (n < 0 && errno == EINTR) continue;
+      if (n < 0) return failed("can't write " + beside);
+      bytes.remove_prefix(static_cast<std::size_t>(n));
+    }
+    if (::fsync(file.fd) != 0) return failed("can't sync " + beside);
+  }
+  if (::rename(beside.c_str(), path.c_str()) != 0) return failed("can't rename to " + path);
+  const std::string folder = std::filesystem::path(path).parent_path().string();
+  Descriptor dir{::open(folder.empty() ? "." : folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC)};
+  if (dir.fd >= 0) ::fsync(dir.fd);
+  return {};
+}
+
+}  // namespace yewmount
--- /dev/null
+++ b/src/head/daemon.cpp
@@ -0,0 +1,759 @@
+#include "head/daemon.h"
+
+#include <algorithm>
+
+#include "base/base.h"
+
+namespace yewmount::head {
+namespace {
+
+constexpr int kExtentBits = 12;      // of an id: which extent of its exchange
+constexpr int kHandlersATurn = 256;  // a turn ends after so many, or nothing would ever leave
+constexpr Micros kSecond = 1'000'000;
+constexpr std::uint64_t kExtentsMost = 1u << kExtentBits;
+
+std::string etag(std::uint64_t stamp) { return "ETag: \"" + std::to_string(stamp) + "\"\r\n"; }
+
+}  // namespace
+
+Daemon::Daemon(asio::io_context& io, settings::HeadProvision given)
+    : io_(io),
+      given_(std::move(given)),
+      start_(fresh_number()),
+      carrier_(
+          io,
+          {given_.name, given_.connections, given_.streams, given_.connect_within, given_.connection_idle},
+          *this),
+      list_(io, {given_.list.address, given_.name, given_.list_file, given_.list.port}, *this),
+      catalogue_(io, {given_.catalogue.address, given_.name, given_.catalogue.port, given_.catalogue_keep,
+                      given_.catalogue_keep_most}),
+      started_(monotonic_now()) {
+  rules_ = std::make_unique<Head>(given_.rules, *this, started_);
+  rules_->at(started_);
+  list_.start(started_);
+  door_ = std::make_unique<door::Door>(
+      io, given_.listen.address, given_.listen.port,
+      door::Provision{given_.most_clients, given_.most_header, given_.client_idle, given_.header_within},
+      *this);
+}
+
+Daemon::~Daemon() = default;
+
+void Daemon::run() {
+  while (true) {
+    Micros next = monotonic_now() + 50'000;
+    for (const auto& [at, token] : wakes_) next = std::min(next, at);
+    const auto wait = std::chrono::microseconds(std::max<Micros>(0, next - monotonic_now()));
+    if (io_.run_one_for(wait) > 0)
+      for (int n = 1; n < kHandlersATurn && io_.poll_one() > 0; ++n) {
+      }
+    if (io_.stopped()) io_.restart();
+    const Micros began = monotonic_now();
+    turn();
+    counts_.longest_turn = std::max(counts_.longest_turn, monotonic_now() - began);
+    if (drain_from_ >= 0 && open_.size() == 0 && in_hand_.size() == 0) {
+      door_->close_idle();
+      if (door_->clients() == 0 || monotonic_now() - drain_from_ > 2 * kSecond) return;
+    }
+  }
+}
+
+void Daemon::turn() {
+  ++counts_.turns;
+  const Micros now = monotonic_now();
+  rules_->at(now);
+  carrier_.deliver(now);
+  for (std::size_t i = 0; i < wakes_.size();) {
+    if (wakes_[i].first > now) {
+      ++i;
+      continue;
+    }
+    const std::uint64_t token = wakes_[i].second;
+    wakes_[i] = wakes_.back();
+    wakes_.pop_back();
+    rules_->woke(token);
+    catalogue_.expire(now);
+  }
+  rules_->settle();
+  carrier_.flush();
+  catalogue_.flush();
+  list_.flush();
+  door_->flush();
+  if (now - swept_ >= kSecond) once_a_second();
+}
+
+void Daemon::once_a_second() {
+  swept_ = monotonic_now();
+  door_->sweep(swept_);
+  list_.tidy();
+  for (auto it = uses_.begin(); it != uses_.end();) {
+    if (swept_ - it->second.used > 60 * kSecond && rules_->forget_volume(it->second.index)) {
+      free_volumes_.push_back(it->second.index);
+      it = uses_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+void Daemon::drain() {
+  if (drain_from_ >= 0) return;
+  drain_from_ = monotonic_now();
+  logs::info("draining", {{"in_hand", in_hand_.size()}, {"exchanges", open_.size()}});
+  door_->stop_listening();
+  door_->close_idle();
+}
+
+std::string Daemon::reload(settings::HeadProvision given) {
+  for (const auto& [key, value] : given_.fixed.items())
+    if (given.fixed.value(key, nlohmann::json()) != value) return "'" + key + "' changes only with a restart";
+  for (const auto& [key, value] : given.fixed.items())
+    if (!given_.fixed.contains(key)) return "'" + key + "' changes only with a restart";
+  logs::level(given.log_level);
+  door_->provide({given.most_clients, given.most_header, given.client_idle, given.header_within});
+  given.rules = given_.rules;
+  given_ = std::move(given);
+  return {};
+}
+
+// --- the list ---------------------------------------------------------------------------------------------
+
+void Daemon::listed(ListKind kind, std::span<const NodeEntry> entries) {
+  if (kind != ListKind::failed)
+    for (const NodeEntry& e : entries) {
+      const list::Known& n = list_.node(e.node);
+      if (e.state != NodeState::gone) carrier_.node_at(e.node, {n.name, n.address, n.port, n.start});
+    }
+  logs::info("list",
+             {{"kind", static_cast<int>(kind)}, {"version", list_.version()}, {"entries", entries.size()}});
+  rules_->at(monotonic_now());
+  rules_->listed(kind, entries);
+}
+
+bool Daemon::may_reuse(int node) { return rules_->forget_node(node) && carrier_.forget(node); }
+
+// --- what the module wants --------------------------------------------------------------------------------
+
+void Daemon::submit(std::uint64_t id, int node, Micros try_for) {
+  Work& w = works_[work_index_.find(id)];
+  wire::Submit s;
+  s.id = id;
+  s.no = w.submits++;
+  s.kind = w.kind;
+  s.repeat = static_cast<wire::Repeat>(given_.rules.groups[w.group].repeat);
+  s.group = given_.groups[w.group];
+  s.volume = w.volume;
+  s.object = w.object;
+  s.extent = w.extent;
+  s.offset = w.offset, s.length = w.length;
+  s.units = w.units;
+  s.fingerprint = w.fingerprint;
+  s.try_for = try_for;
+  ++w.outs;
+  ++counts_.submits;
+  if (s.no > 0) ++counts_.further;
+  carrier_.submit(node, s, w.data, monotonic_now(), try_for);
+}
+
+void Daemon::shed(std::uint64_t id, Micros come_back_after) {
+  const int at = work_index_.find(id);
+  ++counts_.shed;
+  conclude(at, Final::shed, {}, come_back_after);
+}
+
+void Daemon::fail(std::uint64_t id) {
+  const int at = work_index_.find(id);
+  ++counts_.failed;
+  conclude(at, Final::failed, {});
+}
+
+void Daemon::wake(std::uint64_t token, Micros from_now) {
+  wakes_.emplace_back(monotonic_now() + from_now, token);
+}
+
+void Daemon::probe(int node) { carrier_.probe(node, monotonic_now(), given_.connect_within); }
+
+void Daemon::note(std::string_view text) { logs::info("module", {{"says", text}}); }
+
+void Daemon::probe_ended(int node, Result result, Micros lag, const LoadReport& report) {
+  rules_->at(monotonic_now());
+  rules_->probed(node, result, lag, report);
+}
+
+void Daemon::submit_ended(const carrier::Ended& ended) {
+  const int at = work_index_.find(ended.id);
+  rules_->at(monotonic_now());
+  const bool good = ended.result == Result::ended;
+  if (at >= 0) {
+    Work& w = works_[at];
+    --w.outs;
+    w.may_have_run |= ended.result != Result::turned_away && ended.result != Result::no_connection &&
+                      ended.result != Result::not_sent;
+    if (good) w.ended_at = ended.node;
+  }
+  rules_->answered({ended.id, ended.no, ended.node, ended.result, good || at < 0, ended.lag, ended.volume_use,
+                    ended.from_others, ended.report});
+  // The module may have shed or failed it in that call; a good answer ends it here.
+  if (!good || at < 0 || work_index_.find(ended.id) != at) return;
+  ++counts_.ended;
+  conclude(at, ended.missing ? Final::missing : Final::ended, ended.data);
+}
+
+// --- block I/Os -------------------------------------------------------------------------------------------
+
+int Daemon::take(int exchange, wire::Kind kind, int group, const wire::Placed& extent, std::uint32_t offset,
+                 std::uint32_t length, std::string data, Step next) {
+  Exchange& e = exchanges_[exchange];
+  const auto known = given_.volumes.find(e.ask.volume);
+  const settings::Volume volume = known != given_.volumes.end() ? known->second : settings::Volume{};
+  VolumeUse& use = uses_[e.ask.volume];
+  const Micros now = monotonic_now();
+  if (use.index < 0) {
+    use.index = free_volumes_.empty() ? volumes_++ : free_volumes_.back();
+    if (!free_volumes_.empty()) free_volumes_.pop_back();
+  }
+  use.used = now;
+  // The number is given as it is taken, so that ids tell the order in which this head took them.
+  if (e.serial == 0) e.serial = ++last_serial_;
+  const int at = works_.claim();
+  in_hand_.add(at);
+  Work& w = works_[at];
+  w.live = true;
+  w.id = e.serial << kExtentBits | e.extents++;
+  w.exchange = exchange;
+  w.kind = kind;
+  w.group = group;
+  w.extent = extent.extent;
+  w.offset = offset, w.length = length;
+  w.units = given_.units_for(length);
+  w.volume = e.ask.volume, w.object = e.ask.object;
+  w.data = std::move(data);
+  w.next = next;
+  e.work = at;
+  work_index_.add(w.id, at);
+  ++counts_.taken;
+  const IoGroup& g = given_.rules.groups[group];
+  std::uint64_t key = stable_hash(w.volume + '/' + w.object);
+  if (g.repeat == Repeat::fingerprinted) w.fingerprint = key ^ w.extent.head ^ w.extent.serial << 1;
+  // Extents of one object have defaults of their own, unless the order by key is to be kept.
+  if (!g.keeps_order && e.extents > 1) key = stable_hash(std::to_string(key) + std::to_string(e.extents));
+  if (key == 0) key = 1;
+  Micros give_up = now + g.hard_limit;
+  // What the client waits for from its first byte on; a later extent of a long read has time of its own.
+  if (kind == wire::Kind::write || e.extents == 1) give_up = std::min(give_up, e.answer_by);
+  if (kind == wire::Kind::write) give_up -= given_.catalogue_allow;
+  rules_->at(now);
+  rules_->take({.id = w.id,
+                .object = key,
+                .give_up_at = std::max(give_up, now + 1),
+                .group = group,
+                .plan = volume.plan,
+                .volume = use.index,
+                .shard = kind == wire::Kind::write ? -1 : extent.shard,
+                .units = w.units,
+                .heads = volume.heads});
+  return at;
+}
+
+void Daemon::conclude(int at, Final final, std::string_view data, Micros advice) {
+  Work& w = works_[at];
+  const int exchange = w.exchange;
+  const Step next = w.next;
+  Exchange& e = exchanges_[exchange];
+  const bool ran = final == Final::ended || final == Final::missing || w.may_have_run || w.outs > 0;
+  e.may_have_run |= ran;
+  e.effect |=
+      ran && w.kind != wire::Kind::read && given_.rules.groups[w.group].repeat == Repeat::side_effecting;
+  e.advice = advice;
+  // What was written and where is read by the step; then the place is free, whatever is still out.
+  if (final == Final::ended && w.kind == wire::Kind::write) {
+    const std::uint64_t key = stable_hash(w.volume + '/' + w.object);
+    const int home = rules_->home(key);
+    e.object.extents.push_back(
+        {w.extent, w.length, list_.node(w.ended_at).shard, home >= 0 ? list_.node(home).shard : -1});
+  }
+  work_index_.drop(w.id);
+  in_hand_.drop(at);
+  w.live = false;
+  w.data = {};
+  e.work = -1;
+  works_.release(at);
+  (this->*next)(exchange, final, data);
+}
+
+// --- exchanges --------------------------------------------------------------------------------------------
+
+Daemon::Exchange* Daemon::alive(int exchange, std::uint64_t token) {
+  Exchange& e = exchanges_[exchange];
+  return e.live && e.token == token ? &e : nullptr;
+}
+
+std::function<void(catalogue::Result&&)> Daemon::then(int exchange,
+                                                      void (Daemon::*step)(int, catalogue::Result&&)) {
+  return [this, exchange, token = exchanges_[exchange].token, step](catalogue::Result&& result) {
+    if (alive(exchange, token)) (this->*step)(exchange, std::move(result));
+  };
+}
+
+void Daemon::over(int exchange) {
+  Exchange& e = exchanges_[exchange];
+  if (!e.live) return;
+  if (e.session) e.session->exchange = -1;
+  e.live = false;
+  open_.drop(exchange);
+  e = Exchange{};
+  exchanges_.release(exchange);
+}
+
+std::string Daemon::bio_line(const Exchange& e) const {
+  if (e.serial == 0) return {};
+  char text[64];
+  std::snprintf(text, sizeof text, "Yewmount-Bio: %llx+%x\r\n",
+                static_cast<unsigned long long>(e.serial << kExtentBits), e.extents);
+  return text;
+}
+
+void Daemon::answer_plain(Exchange& e, int status, std::string_view why) {
+  if (!e.session || e.answered) return;
+  e.answered = true;
+  const nlohmann::json body = {{"answer", "not taken"}, {"reason", why}};
+  e.session->answer(status, "Content-Type: application/json\r\nYewmount-Answer: not-taken\r\n" + bio_line(e),
+                    body.dump() + "\n");
+}
+
+void Daemon::answer_shed(Exchange& e) {
+  if (!e.session || e.answered) return;
+  const Micros advice = e.advice;
+  e.answered = true;
+  const nlohmann::json body = {
+      {"answer", "shed"}, {"retry", "harmless"}, {"come_back_after_ms", advice / 1000}};
+  e.session->answer(503,
+                    "Content-Type: application/json\r\nYewmount-Answer: shed\r\nRetry-After: " +
+                        std::to_string(std::max<Micros>(1, (advice + kSecond - 1) / kSecond)) +
+                        "\r\nYewmount-Retry-After-Ms: " + std::to_string(advice / 1000) + "\r\n" +
+                        bio_line(e),
+                    body.dump() + "\n");
+}
+
+void Daemon::answer_failed(Exchange& e, std::string_view why) {
+  if (!e.session || e.answered) return;
+  e.answered = true;
+  const nlohmann::json body = {{"answer", "failed"}, {"may_have_run", e.may_have_run}, {"reason", why}};
+  e.session->answer(e.may_have_run ? 504 : 502,
+                    std::string("Content-Type: application/json\r\nYewmount-Answer: failed\r\n") +
+                        "Yewmount-May-Have-Run: " + (e.may_have_run ? "yes" : "no") + "\r\n" + bio_line(e),
+                    body.dump() + "\n");
+}
+
+void Daemon::asked(door::Session& session, const door::Ask& ask) {
+  if (ask.volume == ".yewmount") return own_page(session, ask);
+  const auto refuse = [&](int status, std::string_view why) {
+    ++counts_.not_taken;
+    const nlohmann::json body = {{"answer", "not taken"}, {"reason", why}};
+    session.answer(status,
+                   std::string("Content-Type: application/json\r\nYewmount-Answer: not-taken\r\n") +
+                       (status == 503 ? "Retry-After: 1\r\n" : ""),
+                   body.dump() + "\n");
+  };
+  if (drain_from_ >= 0) {
+    session.close_after();
+    return refuse(503, "this head is draining");
+  }
+  if (static_cast<int>(open_.size()) >= given_.most_in_hand) return refuse(503, "too much in hand");
+  if (!given_.volumes.contains(ask.volume)) return refuse(404, "no such volume");
+  if (ask.object.empty()) return refuse(404, "an object is named after the volume");
+  if (ask.method == door::Method::put && ask.length > static_cast<std::int64_t>(given_.most_object))
+    return refuse(413, "larger than an object may be");
+  const auto method = ask.method == door::Method::put    ? settings::Method::put
+                      : ask.method == door::Method::drop ? settings::Method::drop
+                                                         : settings::Method::get;
+  const int group = given_.group_for(ask.volume, method, std::max<std::int64_t>(ask.length, 0));
+  if (group < 0 && ask.method != door::Method::drop) return refuse(403, "no I/O group takes this");
+  const int at = exchanges_.claim();
+  open_.add(at);
+  Exchange& e = exchanges_[at];
+  e.live = true;
+  e.token = ++last_token_;
+  e.session = session.shared_from_this();
+  e.ask = ask;
+  e.group = group;
+  session.exchange = at;
+  const Micros now = monotonic_now();
+  const Micros limit = group >= 0 ? given_.rules.groups[group].hard_limit : kSecond;
+  e.answer_by = now + (ask.patience > 0 ? std::min(limit, ask.patience) : limit);
+  switch (ask.method) {
+    case door::Method::put:
+      e.answer_by = INT64_MAX;  // a block I/O is taken, and time counts, when its bytes are here
+      return;
+    case door::Method::drop: {
+      wire::Alter alter;
+      alter.change = wire::Change::drop;
+      alter.volume = ask.volume, alter.name = ask.object;
+      alter.condition = ask.if_stamp ? wire::Condition::stamp : wire::Condition::none;
+      alter.stamp = ask.if_stamp;
+      return catalogue_.alter(alter, e.answer_by, then(at, &Daemon::dropped));
+    }
+    default:
+      if (const wire::Object* known = catalogue_.kept(ask.volume, ask.object, now)) {
+        e.object = *known;
+        return begin_read(at);
+      }
+      return catalogue_.look(ask.volume, ask.object, e.answer_by, then(at, &Daemon::looked_up));
+  }
+}
+
+void Daemon::left(door::Session& session) {
+  const int at = session.exchange;
+  session.exchange = -1;
+  if (at < 0) return;
+  Exchange& e = exchanges_[at];
+  ++counts_.left;
+  e.session.reset();
+  e.answered = true;
+  if (e.work >= 0) {
+    // The module owes nothing more; submits that are out end by themselves.
+    Work& w = works_[e.work];
+    rules_->at(monotonic_now());
+    rules_->client_left(w.id);
+    work_index_.drop(w.id);
+    in_hand_.drop(e.work);
+    works_.release(e.work);
+    e.work = -1;
+  }
+  over(at);
+}
+
+// Reads: look up, then extent after extent, as fast as the client takes them.
+
+void Daemon::looked_up(int at, catalogue::Result&& result) {
+  Exchange& e = exchanges_[at];
+  if (result.fate == catalogue::Fate::absent) {
+    answer_plain(e, 404, "no such object");
+    return over(at);
+  }
+  if (result.fate != catalogue::Fate::done) {
+    ++counts_.catalogue_failed;
+    answer_failed(e, "the catalogue did not answer in time");
+    return over(at);
+  }
+  e.object = std::move(result.now);
+  begin_read(at);
+}
+
+void Daemon::begin_read(int at) {
+  Exchange& e = exchanges_[at];
+  const auto size = static_cast<std::int64_t>(e.object.length);
+  if (e.ask.if_stamp && e.ask.if_stamp != e.object.stamp) {
+    answer_plain(e, 412, "another version stands");
+    return over(at);
+  }
+  std::int64_t first = 0, last = size - 1;
+  if (e.ask.has_range) {
+    first = e.ask.first >= 0 ? e.ask.first : std::max<std::int64_t>(0, size - e.ask.last);
+    last = e.ask.first >= 0 && e.ask.last >= 0 ? std::min(e.ask.last, size - 1) : size - 1;
+    if (first >= size || (e.ask.first < 0 && e.ask.last == 0)) {
+      e.answered = true;
+      e.session->answer(416, "Content-Range: bytes */" + std::to_string(size) + "\r\n", "");
+      return over(at);
+    }
+  }
+  e.from = static_cast<std::uint64_t>(first);
+  e.left = static_cast<std::uint64_t>(last - first + 1);
+  if (e.ask.method == door::Method::head || size == 0) {
+    e.answered = true;
+    e.session->begin_answer(200, etag(e.object.stamp) + "Accept-Ranges: bytes\r\nYewmount-Answer: ended\r\n",
+                            e.left);
+    e.session->end_answer();
+    return over(at);
+  }
+  // The I/O group goes by how much is read.
+  e.group = given_.group_for(e.ask.volume, settings::Method::get, static_cast<std::int64_t>(e.left));
+  if (e.group < 0) {
+    answer_plain(e, 403, "no I/O group takes this");
+    return over(at);
+  }
+  e.at = 0;
+  read_next(at);
+}
+
+void Daemon::read_next(int at) {
+  Exchange& e = exchanges_[at];
+  std::uint64_t begin = 0;
+  e.at = 0;
+  while (e.at < e.object.extents.size() && begin + e.object.extents[e.at].length <= e.from)
+    begin += e.object.extents[e.at++].length;
+  if (e.at >= e.object.extents.size() || e.extents + 1 >= kExtentsMost) {
+    logs::error("object and its extents disagree", {{"volume", e.ask.volume}, {"object", e.ask.object}});
+    if (e.session->answering())
+      e.session->cut();
+    else
+      answer_failed(e, "its extents don't make up its length"), over(at);
+    return;
+  }
+  const wire::Placed& p = e.object.extents[e.at];
+  const auto offset = static_cast<std::uint32_t>(e.from - begin);
+  const auto length = static_cast<std::uint32_t>(std::min<std::uint64_t>(e.left, p.length - offset));
+  take(at, wire::Kind::read, e.group, p, offset, length, {}, &Daemon::read_done);
+}
+
+void Daemon::read_done(int at, Final final, std::string_view data) {
+  Exchange& e = exchanges_[at];
+  if (final == Final::missing && !e.reread && !e.session->answering()) {
+    // Another head may have replaced the object since this one looked: once more, from the catalogue itself.
+    e.reread = true;
+    return catalogue_.look(e.ask.volume, e.ask.object, e.answer_by, then(at, &Daemon::looked_up));
+  }
+  if (final != Final::ended || data.empty() || data.size() > e.left) {
+    if (e.session->answering()) {
+      // The status has gone out: only a broken connection tells that the rest does not come.
+      const auto session = e.session;
+      return session->cut();
+    }
+    if (final == Final::shed)
+      answer_shed(e);
+    else
+      answer_failed(e, final == Final::failed ? "no node answered in time" : "the data is not at its node");
+    return over(at);
+  }
+  if (!e.session->answering()) {
+    std::string headers =
+        etag(e.object.stamp) + "Accept-Ranges: bytes\r\nYewmount-Answer: ended\r\n" + bio_line(e);
+    if (e.ask.has_range)
+      headers += "Content-Range: bytes " + std::to_string(e.from) + '-' +
+                 std::to_string(e.from + e.left - 1) + '/' + std::to_string(e.object.length) + "\r\n";
+    e.session->begin_answer(e.ask.has_range ? 206 : 200, headers, e.left);
+    e.answered = true;
+  }
+  e.session->send(data);
+  e.from += data.size();
+  e.left -= data.size();
+  if (e.left == 0) {
+    e.session->end_answer();
+    return over(at);
+  }
+  if (!e.session->full()) read_next(at);
+}
+
+void Daemon::room(door::Session& session) {
+  const int at = session.exchange;
+  if (at < 0) return;
+  Exchange& e = exchanges_[at];
+  if (e.work < 0 && e.left > 0 && e.session->answering()) read_next(at);
+}
+
+// Writes: each extent is a block I/O once its bytes are here; the object stands once all have ended and the
+// catalogue has it on disk.
+
+void Daemon::body(door::Session& session, std::string_view bytes) {
+  const int at = session.exchange;
+  if (at < 0) return;
+  Exchange& e = exchanges_[at];
+  if (e.ask.method != door::Method::put) return;  // a body that nothing asked for
+  e.body_bytes += bytes.size();
+  if (e.body_bytes > given_.most_object) {
+    if (e.work >= 0) {
+      session.cut();
+      return;
+    }
+    answer_plain(e, 413, "larger than an object may be");
+    return over(at);
+  }
+  e.body += bytes;
+  if (e.body.size() >= given_.extent_bytes) session.hold_body(true);
+  if (e.body.size() >= given_.extent_bytes && e.work < 0) write_next(at);
+}
+
+void Daemon::body_done(door::Session& session) {
+  const int at = session.exchange;
+  if (at < 0) return;
+  Exchange& e = exchanges_[at];
+  if (e.ask.method != door::Method::put) return;
+  e.body_done = true;
+  if (e.work < 0) write_next(at);
+}
+
+void Daemon::write_next(int at) {
+  Exchange& e = exchanges_[at];
+  if (e.body_done && e.answer_by == INT64_MAX) {
+    const Micros limit = given_.rules.groups[e.group].hard_limit;
+    e.answer_by = monotonic_now() + (e.ask.patience > 0 ? std::min(limit, e.ask.patience) : limit);
+  }
+  if (e.body.empty()) {
+    if (e.body_done) record(at);
+    return;
+  }
+  if (e.body.size() < given_.extent_bytes && !e.body_done) return;
+  if (e.extents >= kExtentsMost) {
+    answer_plain(e, 413, "larger than an object may be");
+    return over(at);
+  }
+  const auto length = static_cast<std::uint32_t>(std::min<std::size_t>(e.body.size(), given_.extent_bytes));
+  std::string data;
+  if (length == e.body.size()) {
+    data.swap(e.body);
+  } else {
+    data = e.body.substr(0, length);
+    e.body.erase(0, length);
+  }
+  if (!e.body_done) e.session->hold_body(false);
+  wire::Placed placed;
+  placed.extent = {start_, ++last_extent_};
+  take(at, wire::Kind::write, e.group, placed, 0, length, std::move(data), &Daemon::write_done);
+}
+
+void Daemon::write_done(int at, Final final, std::string_view) {
+  Exchange& e = exchanges_[at];
+  if (final == Final::ended) {
+    // The last extent has ended: the time left is for the catalogue.
+    return write_next(at);
+  }
+  // What an earlier extent of a side-effecting write did can't be taken back: no promise that a retry is
+  // harmless.
+  if (final == Final::shed && !e.effect)
+    answer_shed(e);
+  else
+    answer_failed(e, "not written");
+  over(at);
+}
+
+void Daemon::record(int at) {
+  Exchange& e = exchanges_[at];
+  e.object.length = e.body_bytes;
+  wire::Alter alter;
+  alter.change = wire::Change::put;
+  alter.volume = e.ask.volume, alter.name = e.ask.object;
+  alter.condition = e.ask.if_absent    ? wire::Condition::absent
+                    : e.ask.if_stamp   ? wire::Condition::stamp
+                    : e.ask.if_present ? wire::Condition::present
+                                       : wire::Condition::none;
+  alter.stamp = e.ask.if_stamp;
+  alter.object = e.object;
+  catalogue_.alter(alter, e.answer_by, then(at, &Daemon::recorded));
+}
+
+void Daemon::recorded(int at, catalogue::Result&& result) {
+  Exchange& e = exchanges_[at];
+  const std::string volume = e.ask.volume, object = e.ask.object;
+  switch (result.fate) {
+    case catalogue::Fate::done: {
+      e.answered = true;
+      const bool fresh = result.before.stamp == 0;
+      if (e.session)
+        e.session->answer(fresh ? 201 : 204,
+                          etag(result.now.stamp) + "Yewmount-Answer: ended\r\n" + bio_line(e), "");
+      over(at);
+      return discard(volume, object, result.before);
+    }
+    case catalogue::Fate::conflict:
+      answer_plain(e, 412, "another version stands");
+      break;
+    default:
+      ++counts_.catalogue_failed;
+      e.may_have_run = true;
+      answer_failed(e, result.fate == catalogue::Fate::unwritable ? "the catalogue can't be written"
+                                                                  : "the catalogue did not answer");
+  }
+  const wire::Object orphans = e.object;
+  over(at);
+  // What no name stands for is freed, unless the catalogue may have taken it.
+  if (result.fate == catalogue::Fate::conflict || result.fate == catalogue::Fate::unwritable)
+    discard(volume, object, orphans);
+}
+
+void Daemon::dropped(int at, catalogue::Result&& result) {
+  Exchange& e = exchanges_[at];
+  const std::string volume = e.ask.volume, object = e.ask.object;
+  if (result.fate == catalogue::Fate::done) {
+    e.answered = true;
+    if (e.session) e.session->answer(204, "Yewmount-Answer: ended\r\n", "");
+  } else if (result.fate == catalogue::Fate::absent) {
+    answer_plain(e, 404, "no such object");
+  } else if (result.fate == catalogue::Fate::conflict) {
+    answer_plain(e, 412, "another version stands");
+  } else {
+    ++counts_.catalogue_failed;
+    e.may_have_run = result.fate == catalogue::Fate::unknown;
+    answer_failed(e, "the catalogue did not answer");
+  }
+  over(at);
+  if (result.fate == catalogue::Fate::done) discard(volume, object, result.before);
+}
+
+// Extents that no object names any more: a block I/O each on behalf of no client. What doesn't end stays in
+// the catalogue's table of freed ones.
+void Daemon::discard(const std::string& volume, const std::string& object, const wire::Object& old) {
+  const int group = given_.group_for(volume, settings::Method::drop, 0);
+  if (group < 0) return;
+  for (const wire::Placed& p : old.extents) {
+    const int at = exchanges_.claim();
+    open_.add(at);
+    Exchange& e = exchanges_[at];
+    e.live = true;
+    e.token = ++last_token_;
+    e.answered = true;
+    e.answer_by = INT64_MAX;
+    e.group = group;
+    e.ask.volume = volume, e.ask.object = object;
+    e.object.extents.push_back(p);
+    take(at, wire::Kind::discard, group, p, 0, p.length, {}, &Daemon::discard_done);
+  }
+}
+
+void Daemon::discard_done(int at, Final final, std::string_view) {
+  Exchange& e = exchanges_[at];
+  if (final == Final::ended || final == Final::missing) {
+    wire::Alter alter;
+    alter.change = wire::Change::freed;
+    alter.object.extents = e.object.extents;
+    catalogue_.alter(alter, monotonic_now() + kSecond, [](catalogue::Result&&) {});
+  }
+  over(at);
+}
+
+// --- the head's own pages ---------------------------------------------------------------------------------
+
+std::string Daemon::metrics() const {
+  const Head::Footprint f = rules_->footprint();
+  const std::pair<const char*, std::uint64_t> all[] = {
+      {"taken_total", counts_.taken},
+      {"ended_total", counts_.ended},
+      {"shed_total", counts_.shed},
+      {"failed_total", counts_.failed},
+      {"submits_total", counts_.submits},
+      {"further_submits_total", counts_.further},
+      {"clients_left_total", counts_.left},
+      {"not_taken_total", counts_.not_taken + door_->turned_back()},
+      {"catalogue_failed_total", counts_.catalogue_failed},
+      {"turns_total", counts_.turns},
+      {"longest_turn_us", static_cast<std::uint64_t>(counts_.longest_turn)},
+      {"in_hand", in_hand_.size()},
+      {"held", f.held},
+      {"submits_out", carrier_.out()},
+      {"clients", door_->clients()},
+      {"node_connections", carrier_.connections()},
+      {"list_version", list_.version()}};
+  std::string text;
+  for (const auto& [name, value] : all) {
+    const bool total = std::string_view(name).ends_with("_total");
+    text += std::string("# TYPE yewmount_") + name + (total ? " counter\n" : " gauge\n");
+    text += std::string("yewmount_") + name + ' ' + std::to_string(value) + '\n';
+  }
+  return text;
+}
+
+void Daemon::own_page(door::Session& session, const door::Ask& ask) {
+  if (ask.method != door::Method::get && ask.method != door::Method::head)
+    return session.answer(405, "Allow: GET, HEAD\r\n", "");
+  if (ask.object == "metrics")
+    return session.answer(200, "Content-Type: text/plain; version=0.0.4\r\n", metrics());
+  if (ask.object != "health") return session.answer(404, "", "");
+  const bool fine = drain_from_ < 0 && catalogue_.connected();
+  const nlohmann::json body = {{"name", given_.name},
+                               {"state", drain_from_ >= 0 ? "draining" : "serving"},
+                               {"catalogue", catalogue_.connected()},
+                               {"list_version", list_.version()},
+                               {"in_hand", in_hand_.size()}};
+  session.answer(fine ? 200 : 503, "Content-Type: application/json\r\n", body.dump() + "\n");
+}
+
+}  // namespace yewmount::head
--- /dev/null
+++ b/src/head/daemon.h
@@ -0,0 +1,155 @@
+// One head: one event loop, one instance of the decision module. It tells the module what happens and carries
+// out what the module wants; objects are cut into extents here, and the outcome of each block I/O becomes a
+// step of its client's exchange. It decides nothing of its own.
+#pragma once
+#include <asio.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "carrier/carrier.h"
+#include "catalogue/client.h"
+#include "door/session.h"
+#include "list/follower.h"
+#include "rules/rules.h"
+#include "rules/slab.h"
+#include "settings/head.h"
+
+namespace yewmount::head {
+
+struct Counts {
+  std::uint64_t taken = 0, ended = 0, shed = 0, failed = 0, submits = 0, further = 0, left = 0, not_taken = 0;
+  std::uint64_t turns = 0, catalogue_failed = 0;
+  Micros longest_turn = 0;
+};
+
+class Daemon : public Surroundings, public carrier::Told, public list::Told, public door::Service {
+ public:
+  // Throws one line: what can't be bound, read or believed.
+  Daemon(asio::io_context& io, settings::HeadProvision given);
+  ~Daemon() override;
+
+  std::uint16_t port() const { return door_->port(); }
+  void run();  // until drained
+  // Takes nothing new; run() returns once all in hand have their final answer.
+  void drain();
+  // What may change while it runs; a line that says why not, or empty.
+  std::string reload(settings::HeadProvision given);
+  const Counts& counts() const { return counts_; }
+  Head::Footprint footprint() const { return rules_->footprint(); }
+
+ private:
+  // What comes after a block I/O: handed how it ended and the data read.
+  enum class Final : std::uint8_t { ended, missing, shed, failed };
+  using Step = void (Daemon::*)(int exchange, Final final, std::string_view data);
+
+  struct Work {  // a block I/O in hand
+    std::uint64_t id = 0, fingerprint = 0;
+    int exchange = -1, group = 0, units = 1, submits = 0, outs = 0, shard = -1, volume_index = -1;
+    bool live = false, may_have_run = false;
+    wire::Kind kind = wire::Kind::read;
+    wire::ExtentId extent;
+    std::uint32_t offset = 0, length = 0;
+    std::string volume, object, data;
+    int ended_at = -1;  // the node that ended it
+    Step next = nullptr;
+  };
+
+  struct Exchange {  // of a client; its session may have left
+    std::shared_ptr<door::Session> session;
+    std::uint64_t token = 0;  // tells it from a later one at the same place
+    door::Ask ask;
+    bool live = false, done = false, reread = false, effect = false, may_have_run = false, answered = false;
+    int work = -1, group = -1;
+    std::uint32_t extents = 0;  // taken so far
+    std::uint64_t serial = 0;   // of its block I/Os' ids
+    Micros answer_by = 0;       // INT64_MAX: no answer is due yet
+    Micros advice = 0;          // with a shed: when to come back
+    wire::Object object;
+    std::size_t at = 0;                // the extent being read
+    std::uint64_t from = 0, left = 0;  // bytes of the object still to be read
+    std::string body;                  // not yet taken
+    std::uint64_t body_bytes = 0;
+    bool body_done = false;
+  };
+
+  struct VolumeUse {
+    int index = -1;  // the module's; -1: none now
+    Micros used = 0;
+  };
+
+  // door::Service
+  void asked(door::Session& session, const door::Ask& ask) override;
+  void body(door::Session& session, std::string_view bytes) override;
+  void body_done(door::Session& session) override;
+  void room(door::Session& session) override;
+  void left(door::Session& session) override;
+  // carrier::Told
+  void submit_ended(const carrier::Ended& ended) override;
+  void probe_ended(int node, Result result, Micros lag, const LoadReport& report) override;
+  // list::Told
+  void listed(ListKind kind, std::span<const NodeEntry> entries) override;
+  bool may_reuse(int node) override;
+  // Surroundings
+  void submit(std::uint64_t id, int node, Micros try_for) override;
+  void shed(std::uint64_t id, Micros come_back_after) override;
+  void fail(std::uint64_t id) override;
+  void cancel(std::uint64_t id, int submit) override { carrier_.cancel(id, submit); }
+  void wake(std::uint64_t token, Micros from_now) override;
+  void fetch_list() override { list_.fetch(); }
+  void watch_list() override { list_.watch(); }
+  void probe(int node) override;
+  void note(std::string_view text) override;
+
+  void turn();
+  void once_a_second();
+  void own_page(door::Session& session, const door::Ask& ask);
+  std::string metrics() const;
+
+  void looked_up(int exchange, catalogue::Result&& result);
+  void begin_read(int exchange);
+  void read_next(int exchange);
+  void read_done(int exchange, Final final, std::string_view data);
+  void write_next(int exchange);
+  void write_done(int exchange, Final final, std::string_view data);
+  void record(int exchange);
+  void recorded(int exchange, catalogue::Result&& result);
+  void dropped(int exchange, catalogue::Result&& result);
+  void discard(const std::string& volume, const std::string& object, const wire::Object& old);
+  void discard_done(int exchange, Final final, std::string_view data);
+
+  int take(int exchange, wire::Kind kind, int group, const wire::Placed& extent, std::uint32_t offset,
+           std::uint32_t length, std::string data, Step next);
+  void conclude(int work, Final final, std::string_view data, Micros advice = 0);
+  void answer_shed(Exchange& e);
+  void answer_failed(Exchange& e, std::string_view why);
+  void answer_plain(Exchange& e, int status, std::string_view why);
+  std::string bio_line(const Exchange& e) const;
+  void over(int exchange);
+  Exchange* alive(int exchange, std::uint64_t token);
+  std::function<void(catalogue::Result&&)> then(int exchange, void (Daemon::*step)(int, catalogue::Result&&));
+
+  asio::io_context& io_;
+  settings::HeadProvision given_;
+  std::uint64_t start_;
+  carrier::Carrier carrier_;
+  list::Follower list_;
+  catalogue::Client catalogue_;
+  std::unique_ptr<door::Door> door_;
+  std::unique_ptr<Head> rules_;
+  Slab<Exchange> exchanges_;
+  Slab<Work> works_;
+  TicketIndex work_index_;
+  DensePlaces open_, in_hand_;
+  std::unordered_map<std::string, VolumeUse> uses_;
+  std::vector<int> free_volumes_;
+  int volumes_ = 0;
+  std::vector<std::pair<Micros, std::uint64_t>> wakes_;
+  Counts counts_;
+  std::uint64_t last_serial_ = 0, last_extent_ = 0, last_token_ = 0;
+  Micros swept_ = 0, drain_from_ = -1, started_;
+};
+
+}  // namespace yewmount::head
--- /dev/null
+++ b/src/list/follower.h
@@ -0,0 +1,85 @@
+// Follows the list of nodes: whole, changes, watch. Keeps the last one on disk, so that a head can start from
+// that alone. Small indices for nodes are handed out here and taken back once all who know them agree.
+#pragma once
+#include <asio.hpp>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "net/link.h"
+#include "rules/rules.h"
+
+namespace yewmount::list {
+
+struct Provision {
+  std::string address, head_name, file;
+  std::uint16_t port = 0;
+};
+
+struct Known {
+  std::string name, address, zone;
+  std::uint16_t port = 0;
+  int shard = -1;
+  NodeState state = NodeState::gone;
+  double share = 1;
+  std::uint64_t start = 0;
+  Micros up_since = 0;  // of this machine's monotonic clock; 0: long ago
+  bool used = false;    // this index stands for a node
+};
+
+class Told {
+ public:
+  virtual ~Told() = default;
+  // entries' names are good as long as the index is that node's.
+  virtual void listed(ListKind kind, std::span<const NodeEntry> entries) = 0;
+  // Whether all others have let go of the index of a node that is gone.
+  virtual bool may_reuse(int node) = 0;
+};
+
+class Follower : public net::LinkOwner {
+ public:
+  Follower(asio::io_context& io, Provision given, Told& told);
+  ~Follower() override;
+
+  // The list kept on disk, told as ListKind::cached; an empty one where there is none yet. Throws
+  // std::runtime_error with one line where the file is there and can't be read or believed.
+  void start(Micros now);
+  void watch();  // each is answered once, by a list or by ListKind::failed
+  void fetch();
+  void tidy();  // now and then: takes back indices
+  void flush();
+
+  const Known& node(int index) const { return nodes_[index]; }
+  int size() const { return static_cast<int>(nodes_.size()); }
+  std::uint64_t version() const { return version_; }
+  int zone(const std::string& name);
+
+  void on_frame(net::Link& link, const wire::Frame& frame) override;
+  void on_closed(net::Link& link, const std::string& why) override;
+
+ private:
+  void ask(bool watch);
+  void take(const wire::List& list, Micros now);
+  void save();
+  int index_of(const std::string& name);
+  NodeEntry entry(int index);
+
+  asio::io_context& io_;
+  Provision given_;
+  Told& told_;
+  std::shared_ptr<net::Link> link_;
+  bool connecting_ = false, greeted_ = false, watching_ = false;
+  std::vector<bool> asks_;  // waiting for the link: watch or fetch
+  int answers_due_ = 0;
+  std::uint64_t version_ = 0;
+  std::deque<Known> nodes_;
+  std::unordered_map<std::string, int> indices_;
+  std::map<std::string, int> zones_;
+  std::vector<int> free_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace yewmount::list
--- a/src/rules/rules.cpp
+++ b/src/rules/rules.cpp
@@ -47,8 +47,7 @@
 constexpr double kFitKeep = 0.93;    // of a node's fit at each answer
 constexpr double kFitPrior = 100;    // units squared that a unit's own time counts for in it
 constexpr double kFitMemory = 1e6;   // without answers, until the fit is as good as none
-constexpr double kFitDark =
-    0.5;  // of a unit time, times the root of the volume's heads: they send more together
+constexpr double kFitDark = 0.5;     // of a unit time, times the root of the volume's heads
 constexpr Micros kTrialRare = 4 * kTrialEvery;  // without a trial, until any first submit may be one
 constexpr Micros kForget = 60'000'000;          // a volume unused for longer has its stores full again
 constexpr int kPlaces = 8;                      // submits a block I/O can have here, whatever is allowed
@@ -314,7 +313,7 @@
   // Harms when one big block I/O was the slow one: then new objects pass by the node for a moment.
   double weight(const Node& n) const { return std::max(n.load, mean_rate_ * std::max(n.lag, silence(n))); }
 
-  int home_of(const Bio& b) const { return by_name_[b.io.object % by_name_.size()]; }
+  int home_of(std::uint64_t object) const { return by_name_[object % by_name_.size()]; }
 
   int place(const Bio& b) {
     // Within a turn nodes only fill and prices only rise: what found no room tells for all as large that
@@ -336,7 +335,7 @@
         full_for_[u] = std::max(full_for_[u], b.gain);
       return -1;
     }
-    const int home = home_of(b);
+    const int home = home_of(b.io.object);
     const bool home_fit = std::find(fit_.begin(), fit_.end(), home) != fit_.end();
     std::stable_sort(fit_.begin(), fit_.end(),
                      [&](int x, int y) { return nodes_[x].probability > nodes_[y].probability; });
@@ -772,7 +771,7 @@
       }
       if (fits && in_time(b, n, n.ahead + b.io.units)) continue;  // before the gate
     }
-    if (node < 0 && b.io.shard < 0 && !by_name_.empty()) node = home_of(b);
+    if (node < 0 && b.io.shard < 0 && !by_name_.empty()) node = home_of(b.io.object);
     if (node < 0) continue;
     Node& n = nodes_[node];
     if (b.io.shard >= 0) n.blocked = true;
@@ -879,6 +878,7 @@
 void Head::answered(const Answer& answer) { desk_->answered(answer); }
 void Head::woke(std::uint64_t) { desk_->tick(); }
 void Head::settle() { desk_->settle(); }
+int Head::home(std::uint64_t object) const { return desk_->by_name_.empty() ? -1 : desk_->home_of(object); }
 bool Head::forget_node(int node) { return desk_->forget_node(node); }
 bool Head::forget_volume(int volume) { return desk_->forget_volume(volume); }
 
--- a/src/rules/rules.h
+++ b/src/rules/rules.h
@@ -119,6 +119,7 @@
   // been sent to, a volume long unused. What was learned of it is dropped.
   bool forget_node(int node);
   bool forget_volume(int volume);
+  int home(std::uint64_t object) const;  // a new object's default node under the present list; -1: none
   struct Footprint {
     std::size_t in_hand, held, nodes, volumes, lines, marks;
   };
