--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -40,3 +40,16 @@
 
 yewmount_program(yewmountd SOURCES src/head/main.cpp USES yewmount_head)
 yewmount_program(yewmount-catalogue SOURCES src/catalogue/main.cpp USES yewmount_catalogue)
+
+# Stand-ins for what the program talks to; none of them is part of it.
+yewmount_program(yewmount-node SOURCES standins/node_main.cpp standins/node.cpp USES yewmount_net yewmount_settings)
+yewmount_program(yewmount-list SOURCES standins/list_main.cpp USES yewmount_net yewmount_base)
+yewmount_program(yewmount-client SOURCES standins/client_main.cpp
+                 USES yewmount_net yewmount_settings http_parser)
+
+add_library(yewmount_judge STATIC judge/judge.cpp)  # of the project only its own header: it shares nothing
+target_include_directories(yewmount_judge PUBLIC ${CMAKE_SOURCE_DIR})
+target_link_libraries(yewmount_judge PUBLIC nlohmann_json::nlohmann_json)
+
+yewmount_package(days SOURCES src/days/processes.cpp src/days/runner.cpp USES yewmount_net yewmount_settings)
+yewmount_program(yewmount SOURCES src/cli/main.cpp USES yewmount_days yewmount_judge yewmount_settings)
--- a/src/head/daemon.cpp
+++ b/src/head/daemon.cpp
@@ -28,6 +28,8 @@
       catalogue_(io, {given_.catalogue.address, given_.name, given_.catalogue.port, given_.catalogue_keep,
                       given_.catalogue_keep_most}),
       started_(monotonic_now()) {
+  // Ids of two starts must not meet at a node: a part of each is this start's own.
+  last_serial_ = (start_ & 0xfffff) << 28;
   rules_ = std::make_unique<Head>(given_.rules, *this, started_);
   rules_->at(started_);
   list_.start(started_);
--- a/standins/lines.h
+++ b/standins/lines.h
@@ -1,5 +1,5 @@
-// What the stand-ins share: a record of JSON lines that is on disk before what it tells of leaves the process,
-// and a control door that takes commands as JSON lines. Nothing here is part of the program.
+// What the stand-ins share: a record of JSON lines that is on disk before what it tells of leaves the
+// process, and a control door that takes commands as JSON lines. Nothing here is part of the program.
 #pragma once
 #include <asio.hpp>
 #include <cstdio>
--- a/standins/node.cpp
+++ b/standins/node.cpp
@@ -68,18 +68,18 @@
       start_(fresh_number()),
       born_(monotonic_now()),
       random_(given_.seed),
-      timer_(io),
       control_(io, given_.control_port, [this](const json& c) { obey(c); }) {
   if (!given_.store.empty()) std::filesystem::create_directories(given_.store);
   pause_at_ = born_ + (given_.pause_every > 0 ? random_() % given_.pause_every : 0);
   flush_at_ = born_ + given_.flush_every;
-  listener_ = std::make_unique<net::Listener>(io, given_.address, given_.port, [this](asio::ip::tcp::socket s) {
-    auto link = std::make_shared<net::Link>(std::move(s), *this);
-    link->number = ++last_conn_;
-    clients_[link->number].link = link;
-    wire::put(link->out(), wire::Hello{wire::Role::node, given_.name, given_.shard, start_});
-    link->start();
-  });
+  listener_ =
+      std::make_unique<net::Listener>(io, given_.address, given_.port, [this](asio::ip::tcp::socket s) {
+        auto link = std::make_shared<net::Link>(std::move(s), *this);
+        link->number = ++last_conn_;
+        clients_[link->number].link = link;
+        wire::put(link->out(), wire::Hello{wire::Role::node, given_.name, given_.shard, start_});
+        link->start();
+      });
   record_.add({{"ev", "start"},
                {"node", given_.name},
                {"shard", given_.shard},
@@ -145,7 +145,11 @@
       wire::Cancel cancel;
       wire::get(frame, cancel);
       // As most real ones do: running work goes on, and so does what waits.
-      record_.add({{"ev", "cancel"}, {"node", given_.name}, {"head", client.head}, {"id", hex(cancel.id)}, {"no", cancel.no}});
+      record_.add({{"ev", "cancel"},
+                   {"node", given_.name},
+                   {"head", client.head},
+                   {"id", hex(cancel.id)},
+                   {"no", cancel.no}});
       return;
     }
     case wire::Type::probe: {
@@ -249,12 +253,14 @@
   const std::pair key(s.extent.head, s.extent.serial);
   const bool files = !given_.store.empty();
   if (s.kind == wire::Kind::write) {
-    if (files) return write_file(file_of(s.extent), job.data).empty() ? wire::Outcome::ended : wire::Outcome::error;
+    if (files)
+      return write_file(file_of(s.extent), job.data).empty() ? wire::Outcome::ended : wire::Outcome::error;
     memory_[key] = std::move(job.data);
     return wire::Outcome::ended;
   }
   if (s.kind == wire::Kind::discard) {
-    if (files) return std::filesystem::remove(file_of(s.extent)) ? wire::Outcome::ended : wire::Outcome::missing;
+    if (files)
+      return std::filesystem::remove(file_of(s.extent)) ? wire::Outcome::ended : wire::Outcome::missing;
     return memory_.erase(key) > 0 ? wire::Outcome::ended : wire::Outcome::missing;
   }
   std::string from_disk;
@@ -283,7 +289,11 @@
   meter.all += job.submit.units;
   meter.heads[job.head].first += job.submit.units;
   if (hang_ || chance(lose_)) {
-    record_.add({{"ev", "withheld"}, {"node", given_.name}, {"head", job.head}, {"id", hex(job.submit.id)}, {"no", job.submit.no}});
+    record_.add({{"ev", "withheld"},
+                 {"node", given_.name},
+                 {"head", job.head},
+                 {"id", hex(job.submit.id)},
+                 {"no", job.submit.no}});
     return;
   }
   if (chance(cut_)) {
@@ -298,8 +308,9 @@
 }
 
 wire::Load Node::load() const {
-  return {static_cast<double>(running_ + static_cast<int>(waiting_.size())), static_cast<double>(waiting_.size()),
-          static_cast<double>(running_) / given_.cores, std::llround(recent_)};
+  return {static_cast<double>(running_ + static_cast<int>(waiting_.size())),
+          static_cast<double>(waiting_.size()), static_cast<double>(running_) / given_.cores,
+          std::llround(recent_)};
 }
 
 void Node::answer(int conn, const Job& job, wire::Outcome outcome, std::string_view data) {
@@ -330,7 +341,11 @@
 }
 
 void Node::on_closed(net::Link& link, const std::string& why) {
-  record_.add({{"ev", "closed"}, {"node", given_.name}, {"conn", link.number}, {"head", clients_.at(link.number).head}, {"why", why}});
+  record_.add({{"ev", "closed"},
+               {"node", given_.name},
+               {"conn", link.number},
+               {"head", clients_.at(link.number).head},
+               {"why", why}});
   clients_.erase(link.number);
 }
 
@@ -368,28 +383,36 @@
 void Node::obey(const json& c) {
   record_.add({{"ev", "told"}, {"node", given_.name}, {"command", c}});
   for (const auto& [key, value] : c.items()) {
-    if (key == "hang") hang_ = value.get<bool>();
-    else if (key == "drain") draining_ = value.get<bool>();
-    else if (key == "slow") slow_ = std::max(0.01, value.get<double>());
-    else if (key == "errors") errors_ = value.get<double>();
-    else if (key == "lose") lose_ = value.get<double>();
-    else if (key == "cut") cut_ = value.get<double>();
-    else if (key == "reset") close_all("reset on command");
-    else if (key == "garbage") garble(value.get<std::string>());
+    if (key == "hang")
+      hang_ = value.get<bool>();
+    else if (key == "drain")
+      draining_ = value.get<bool>();
+    else if (key == "slow")
+      slow_ = std::max(0.01, value.get<double>());
+    else if (key == "errors")
+      errors_ = value.get<double>();
+    else if (key == "lose")
+      lose_ = value.get<double>();
+    else if (key == "cut")
+      cut_ = value.get<double>();
+    else if (key == "reset")
+      close_all("reset on command");
+    else if (key == "garbage")
+      garble(value.get<std::string>());
     else if (key == "heavy") {
       heavy_part_ = value.at("part").get<double>();
       heavy_ = value.at("times").get<double>();
       heavy_group_ = value.value("group", "");
-    } else throw std::runtime_error("unknown command '" + key + "'");
+    } else
+      throw std::runtime_error("unknown command '" + key + "'");
   }
 }
 
-void Node::arm() {
+std::int64_t Node::next() const {
   std::int64_t next = monotonic_now() + 50'000;
   if (!finishing_.empty()) next = std::min(next, finishing_.top().at);
   if (paused_until_ > monotonic_now()) next = std::min(next, paused_until_);
-  timer_.expires_at(asio::steady_timer::time_point(std::chrono::microseconds(next)));
-  timer_.async_wait([](std::error_code) {});
+  return next;
 }
 
 void Node::turn_over() {
@@ -400,15 +423,13 @@
     finish(at);
   }
   begin_jobs();
-  if (fallen_ && listener_) {
+  if (fallen_ && !clients_.empty()) {
     close_all("fell over");
     listener_->close();
     jobs_.clear(), waiting_.clear(), finishing_ = {}, running_ = 0;
-    listener_.reset();
   }
   record_.flush();
   for (auto& [number, c] : clients_) c.link->flush();
-  arm();
 }
 
 }  // namespace yewmount::standins
--- a/standins/node.h
+++ b/standins/node.h
@@ -1,6 +1,6 @@
-// A storage node as heads see one: cores, a waiting room, a cold start that falls over when over-sent, pauses,
-// put-off work of writes, a memory of the last keys, and faults on command. Work is waited for, not computed,
-// so that many nodes fit on one machine. It writes down every frame that it saw.
+// A storage node as heads see one: cores, a waiting room, a cold start that falls over when over-sent,
+// pauses, put-off work of writes, a memory of the last keys, and faults on command. Work is waited for, not
+// computed, so that many nodes fit on one machine. It writes down every frame that it saw.
 #pragma once
 #include <deque>
 #include <list>
@@ -19,7 +19,8 @@
   int shard = 0, cores = 2, room = 64, remembers = 0;
   std::uint16_t port = 0, control_port = 0;
   std::uint32_t seed = 1;
-  double unit_us = 5000, speed = 1, spread = 0.2, cold_from = 1, fall_multiple = 4, cold_bears = 0, most_units = 6;
+  double unit_us = 5000, speed = 1, spread = 0.2, cold_from = 1, fall_multiple = 4, cold_bears = 0,
+         most_units = 6;
   double put_off = 0, seek_saved = 0;
   bool cold = false, tells_elsewhere = true;
   std::int64_t warm_within = 0, overload_for = 0, pause_every = 0, pause = 0, flush_every = 2'000'000;
@@ -35,7 +36,8 @@
   std::uint16_t port() const { return listener_->port(); }
   std::uint16_t control_port() const { return control_.port(); }
   std::uint64_t start() const { return start_; }
-  void turn_over();  // once after the handlers of a turn
+  std::int64_t next() const;  // when turn_over() is due at the latest
+  void turn_over();           // once after the handlers of a turn
 
   void on_frame(net::Link& link, const wire::Frame& frame) override;
   void on_closed(net::Link& link, const std::string& why) override;
@@ -64,7 +66,6 @@
   void finish(int job);
   wire::Outcome run(Job& job, std::string& read);
   void answer(int conn, const Job& job, wire::Outcome outcome, std::string_view data);
-  void arm();
   double warmth(std::int64_t now) const;
   double power(std::int64_t now) const;  // of a core: work done in a microsecond
   bool over_sent(std::int64_t now, double units);
@@ -86,7 +87,6 @@
   int last_job_ = 0, running_ = 0;
   std::deque<int> waiting_;
   std::priority_queue<Running> finishing_;
-  asio::steady_timer timer_;
   std::map<std::pair<std::uint64_t, std::uint64_t>, std::string> memory_;
   std::deque<std::string> keys_;
   std::deque<std::pair<std::int64_t, double>> arrivals_;
--- a/standins/node_main.cpp
+++ b/standins/node_main.cpp
@@ -30,7 +30,7 @@
               << std::endl;
     node.turn_over();
     while (!stop) {
-      io.run_one();
+      io.run_one_for(std::chrono::microseconds(std::max<std::int64_t>(0, node.next() - monotonic_now())));
       for (int n = 0; n < 256 && io.poll_one() > 0; ++n) {
       }
       node.turn_over();
