Flat arrays carry as many values as they say: lists and extents decode again

An array told its elements, not their fields, so every list was turned down as malformed and heads knew no node.

--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::size_t kMostTokens = 1 << 18;
 constexpr int kMostDepth = 4;
+constexpr std::size_t kPlacedFields = 5, kEntryFields = 9;  // values of one element of a flat array
 
 struct Sink {
   std::string& out;
@@ -61,7 +62,7 @@
   }
   Packing& operator<<(const Object& o) {
     *this << o.stamp << o.length;
-    pack_.pack_array(static_cast<std::uint32_t>(o.extents.size()));
+    array(o.extents.size() * kPlacedFields);
     for (const Placed& p : o.extents) *this << p.extent << p.length << p.shard << p.home;
     return *this;
   }
@@ -192,14 +193,15 @@
   Reading& operator>>(Load& l) { return *this >> l.outstanding >> l.backlog >> l.utilization >> l.recent; }
   Reading& operator>>(Object& o) {
     *this >> o.stamp >> o.length;
-    o.extents.resize(check(array(), 6));
+    o.extents.resize(count(kPlacedFields));
     for (Placed& p : o.extents) *this >> p.extent >> p.length >> p.shard >> p.home;
     return *this;
   }
-  // An array's told length is believed only as far as that many values came.
-  std::size_t check(std::uint64_t count, std::size_t each) {
-    if (count * each > tokens_.all.size()) bad("has an array shorter than told");
-    return static_cast<std::size_t>(count);
+  // How many of so many fields each lie in the array that comes next.
+  std::size_t count(std::size_t each) {
+    const std::uint64_t values = array();
+    if (values % each != 0 || values > tokens_.all.size()) bad("has an array of the wrong length");
+    return static_cast<std::size_t>(values / each);
   }
   [[noreturn]] void bad(const char* why) const { throw Malformed(std::string(what_) + ' ' + why); }
 
@@ -304,7 +306,7 @@
 void put(std::string& out, const List& m) {
   Packing p(out, Type::list, 3);
   p << m.form << m.version;
-  p.array(m.entries.size());
+  p.array(m.entries.size() * kEntryFields);
   for (const ListEntry& e : m.entries)
     p << std::string_view(e.name) << std::string_view(e.address) << std::string_view(e.zone) << e.port
       << e.shard << e.state << e.share << e.start << e.age;
@@ -313,7 +315,7 @@
 void get(const Frame& f, List& m) {
   Reading r(f.meta, "list", 3);
   r.up_to(m.form, ListForm::failed) >> m.version;
-  m.entries.resize(r.check(r.array(), 9));
+  m.entries.resize(r.count(kEntryFields));
   for (ListEntry& e : m.entries) {
     r >> e.name >> e.address >> e.zone >> e.port >> e.shard;
     r.up_to(e.state, NodeState::draining) >> e.share >> e.start >> e.age;
