--- a/src/base/base.cpp
+++ b/src/base/base.cpp
@@ -25,7 +25,8 @@
 
 std::uint64_t fresh_number() {
   std::random_device device;
-  return static_cast<std::uint64_t>(device()) << 32 | device();
+  // 63 bits: JSON readers that know only signed numbers must not turn one negative.
+  return (static_cast<std::uint64_t>(device()) << 32 | device()) >> 1;
 }
 
 namespace logs {
--- a/src/list/follower.cpp
+++ b/src/list/follower.cpp
@@ -66,7 +66,7 @@
       n.shard = e.at("shard").get<int>();
       n.state = e.at("state") == "ready" ? NodeState::ready : NodeState::draining;
       n.share = e.at("share").get<double>();
-      n.start = e.at("start").get<std::uint64_t>();
+      n.start = std::stoull(e.at("start").get<std::string>());
       const Micros born = e.at("up_since_wall_us").get<Micros>();
       // A wall clock that was set back must not make a cold node look warm: its start is at most now.
       n.up_since = born == 0 ? 0 : now - std::max<Micros>(0, wall - born);
@@ -90,7 +90,7 @@
                              {"shard", n.shard},
                              {"state", kStates[static_cast<int>(n.state)]},
                              {"share", n.share},
-                             {"start", n.start},
+                             {"start", std::to_string(n.start)},
                              {"up_since_wall_us", n.up_since == 0 ? 0 : n.up_since + offset}});
   }
   // A disk that does not take it must not stop the service: the older list stands, and this is said.
--- a/standins/node.cpp
+++ b/standins/node.cpp
@@ -375,7 +375,12 @@
     }
   }
   if (how == "half") {
-    for (auto& [number, c] : clients_) c.link->flush();
+    for (auto& [number, c] : clients_)
+      record_.add({{"ev", "cut"},
+                   {"node", given_.name},
+                   {"conn", number},
+                   {"head", c.head},
+                   {"why", "half a frame"}});
     clients_.clear();
   }
 }
