--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -20,3 +20,17 @@
            ${CMAKE_BINARY_DIR}/days ${day})
   set_tests_properties(day_${name} PROPERTIES PROCESSORS 2 TIMEOUT 120)
 endforeach()
+
+yewmount_test(judge SOURCES tests/judge/judge_test.cpp USES yewmount_judge)
+yewmount_test(head SOURCES tests/head/head_test.cpp USES yewmount_head)
+
+# A head that passes off what may have run as surely not run: the judge must catch it. Never installed.
+add_executable(yewmountd-planted EXCLUDE_FROM_ALL src/head/main.cpp src/head/daemon.cpp)
+target_compile_definitions(yewmountd-planted PRIVATE YEWMOUNT_PLANTED_FAULT)
+target_link_libraries(yewmountd-planted PRIVATE yewmount_carrier yewmount_list yewmount_catalogue yewmount_door
+                      yewmount_settings CLI11::CLI11)
+set_target_properties(yewmountd-planted PROPERTIES EXCLUDE_FROM_ALL OFF)
+add_test(NAME planted_fault_is_caught COMMAND ${CMAKE_SOURCE_DIR}/tests/judge/planted.sh ${CMAKE_BINARY_DIR}
+         ${CMAKE_SOURCE_DIR}/days/quick-errors.json)
+set_tests_properties(planted_fault_is_caught PROPERTIES PROCESSORS 2 TIMEOUT 120)
+add_test(NAME command_line COMMAND ${CMAKE_SOURCE_DIR}/tests/settings/command_line.sh ${CMAKE_BINARY_DIR}/bin)
--- a/src/door/session.cpp
+++ b/src/door/session.cpp
@@ -279,6 +279,7 @@
   if (closing_) return;
   if (!message_done_) return;
   exchange_open_ = false;
+  held_ = false;  // a body held back in its last part must not hold back the next exchange
   idle_ = true;
   since_ = monotonic_now();
   asio::post(socket_.get_executor(), [self = shared_from_this()] {
--- a/src/head/daemon.cpp
+++ b/src/head/daemon.cpp
@@ -246,8 +246,10 @@
   if (!g.keeps_order && e.extents > 1) key = stable_hash(std::to_string(key) + std::to_string(e.extents));
   if (key == 0) key = 1;
   Micros give_up = now + g.hard_limit;
-  // What the client waits for from its first byte on; a later extent of a long read has time of its own.
-  if (kind == wire::Kind::write || e.extents == 1) give_up = std::min(give_up, e.answer_by);
+  // As long as the client waits for the first byte of its answer; a later extent of a long read has time of its
+  // own. Guards against a read that is begun anew, the object having been replaced, past its client's patience.
+  const bool answering = e.session && e.session->answering();
+  if (!answering) give_up = std::min(give_up, e.answer_by);
   if (kind == wire::Kind::write) give_up -= given_.catalogue_allow;
   rules_->at(now);
   rules_->take({.id = w.id,
