--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -53,3 +53,12 @@
 
 yewmount_package(days SOURCES src/days/processes.cpp src/days/runner.cpp USES yewmount_net yewmount_settings)
 yewmount_program(yewmount SOURCES src/cli/main.cpp USES yewmount_days yewmount_judge yewmount_settings)
+
+# Benchmarks: cmake --build BUILD --target rules_bench head_bench
+find_package(benchmark QUIET)
+if(benchmark_FOUND)
+  add_executable(rules_bench EXCLUDE_FROM_ALL bench/rules_bench.cpp)
+  target_link_libraries(rules_bench PRIVATE yewmount_rules benchmark::benchmark)
+endif()
+add_executable(head_bench EXCLUDE_FROM_ALL bench/head_bench.cpp)
+target_link_libraries(head_bench PRIVATE yewmount_days yewmount_net CLI11::CLI11)
--- a/src/days/runner.cpp
+++ b/src/days/runner.cpp
@@ -3,6 +3,7 @@
 #include <signal.h>
 
 #include <algorithm>
+#include <csignal>
 #include <deque>
 #include <filesystem>
 #include <map>
@@ -22,6 +23,8 @@
 
 constexpr std::int64_t kReady = 10'000'000;
 
+volatile std::sig_atomic_t stopped = 0;
+
 struct NodeRun {
   Process process;
   std::string name;
@@ -127,9 +130,12 @@
     record_->add(std::move(line));
     record_->flush();
   }
+  // In slices, so that a runner told to stop ends what it started instead of leaving it behind.
   static void sleep_until(std::int64_t at) {
-    if (const std::int64_t left = at - monotonic_now(); left > 0)
-      std::this_thread::sleep_for(std::chrono::microseconds(left));
+    for (std::int64_t left; (left = at - monotonic_now()) > 0;) {
+      std::this_thread::sleep_for(std::chrono::microseconds(std::min<std::int64_t>(left, 50'000)));
+      if (stopped != 0) throw std::runtime_error("stopped by signal " + std::to_string(stopped));
+    }
   }
   void end(Process& p) {
     int code = 0;
@@ -350,6 +356,7 @@
 
 void play(const std::string& day_file, const std::string& folder, const std::string& binaries,
           const std::string& head_program) {
+  for (const int number : {SIGTERM, SIGINT, SIGHUP}) std::signal(number, [](int got) { stopped = got; });
   Day(day_file, folder, binaries, head_program).play();
 }
 
