--- a/src/head/daemon.cpp
+++ b/src/head/daemon.cpp
@@ -10,6 +10,8 @@
 constexpr int kExtentBits = 12;      // of an id: which extent of its exchange
 constexpr int kHandlersATurn = 256;  // a turn ends after so many, or nothing would ever leave
 constexpr Micros kSecond = 1'000'000;
+constexpr Micros kStoodStill =
+    40'000;  // between two turns: counted for operators, acted on by the module alone
 constexpr std::uint64_t kExtentsMost = 1u << kExtentBits;
 
 std::string etag(std::uint64_t stamp) { return "ETag: \"" + std::to_string(stamp) + "\"\r\n"; }
@@ -63,6 +65,8 @@
 void Daemon::turn() {
   ++counts_.turns;
   const Micros now = monotonic_now();
+  if (turned_ > 0 && now - turned_ > kStoodStill) ++counts_.stood_still;
+  turned_ = now;
   rules_->at(now);
   carrier_.deliver(now);
   for (std::size_t i = 0; i < wakes_.size();) {
@@ -246,8 +250,9 @@
   if (!g.keeps_order && e.extents > 1) key = stable_hash(std::to_string(key) + std::to_string(e.extents));
   if (key == 0) key = 1;
   Micros give_up = now + g.hard_limit;
-  // As long as the client waits for the first byte of its answer; a later extent of a long read has time of its
-  // own. Guards against a read that is begun anew, the object having been replaced, past its client's patience.
+  // As long as the client waits for the first byte of its answer; a later extent of a long read has time of
+  // its own. Guards against a read that is begun anew, the object having been replaced, past its client's
+  // patience.
   const bool answering = e.session && e.session->answering();
   if (!answering) give_up = std::min(give_up, e.answer_by);
   if (kind == wire::Kind::write) give_up -= given_.catalogue_allow;
@@ -734,6 +739,7 @@
       {"not_taken_total", counts_.not_taken + door_->turned_back()},
       {"catalogue_failed_total", counts_.catalogue_failed},
       {"turns_total", counts_.turns},
+      {"stood_still_total", counts_.stood_still},
       {"longest_turn_us", static_cast<std::uint64_t>(counts_.longest_turn)},
       {"in_hand", in_hand_.size()},
       {"held", f.held},
--- a/src/head/daemon.h
+++ b/src/head/daemon.h
@@ -21,7 +21,7 @@
 
 struct Counts {
   std::uint64_t taken = 0, ended = 0, shed = 0, failed = 0, submits = 0, further = 0, left = 0, not_taken = 0;
-  std::uint64_t turns = 0, catalogue_failed = 0;
+  std::uint64_t turns = 0, catalogue_failed = 0, stood_still = 0;
   Micros longest_turn = 0;
 };
 
@@ -149,7 +149,7 @@
   std::vector<std::pair<Micros, std::uint64_t>> wakes_;
   Counts counts_;
   std::uint64_t last_serial_ = 0, last_extent_ = 0, last_token_ = 0;
-  Micros swept_ = 0, drain_from_ = -1, started_;
+  Micros swept_ = 0, turned_ = 0, drain_from_ = -1, started_;
 };
 
 }  // namespace yewmount::head
--- a/standins/client_main.cpp
+++ b/standins/client_main.cpp
@@ -44,8 +44,9 @@
   double rate = 1;
   std::vector<Mix> mix;
   std::vector<Surge> surges;
-  std::vector<std::string> objects;  // that stand, by 201 answers
-  int one_key = 0;                   // >0: writes go to so many keys only
+  std::vector<std::int64_t> lead_changes;  // when the head used most passes to the next of its set
+  std::vector<std::string> objects;        // that stand, by 201 answers
+  int one_key = 0;                         // >0: writes go to so many keys only
 };
 
 struct Reply {
@@ -166,6 +167,8 @@
       }
       for (const json& s : v.value("surges", json::array()))
         volume.surges.push_back({us(s, "from_ms", 0), us(s, "to_ms", 0), s.value("factor", 2.0)});
+      for (const json& at : v.value("lead_changes_ms", json::array()))
+        volume.lead_changes.push_back(std::llround(at.get<double>() * 1000));
       volumes_.push_back(std::move(volume));
     }
   }
@@ -267,13 +270,17 @@
       if (mix.method == "DELETE") std::erase(volume.objects, object);
     }
     const std::string key = volume.name + '/' + object;
+    std::size_t chosen = 0;
     for (int no = 0; no <= mix.retries; ++no) {
-      const int head = volume.heads[no == 0 ? static_cast<std::size_t>(draw() * draw() * volume.heads.size())
-                                            : last_head_[op]];
-      if (no == 0) {
-        for (std::size_t i = 0; i < volume.heads.size(); ++i)
-          if (volume.heads[i] == head) last_head_[op] = i;
-      }
+      const auto lead =
+          static_cast<std::size_t>(std::count_if(volume.lead_changes.begin(), volume.lead_changes.end(),
+                                                 [&](std::int64_t at) { return intended - begin_ >= at; }));
+      // Its heads are used unevenly; a further try comes to the same one.
+      if (no == 0)
+        chosen =
+            (static_cast<std::size_t>(draw() * draw() * static_cast<double>(volume.heads.size())) + lead) %
+            volume.heads.size();
+      const int head = volume.heads[chosen];
       const bool leaves = draw() < mix.leave, mid = mix.method == "PUT" && draw() < mix.slow;
       record_.add({{"ev", "sent"},
                    {"client", name_},
@@ -327,7 +334,6 @@
       if (!harmless || leaves || mid) break;
       if (mix.wait > 0) co_await sleep_until(monotonic_now() + mix.wait);
     }
-    last_head_.erase(op);
     --open_;
   }
 
@@ -401,7 +407,6 @@
   std::vector<HeadAt> heads_;
   std::vector<Volume> volumes_;
   std::map<std::string, int> sizes_;
-  std::map<std::uint64_t, std::size_t> last_head_;
   std::int64_t begin_ = 0, until_ = 0, slack_ = 0, longest_lag_ = 0;
   std::uint64_t ops_ = 0;
   int open_ = 0, preload_ = 0;
