--- a/src/door/session.cpp
+++ b/src/door/session.cpp
@@ -165,6 +165,7 @@
   http_parser_init(&parser_, HTTP_REQUEST);
   parser_.data = this;
   std::error_code ignored;
+  socket_.non_blocking(true, ignored);
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
 }
 
@@ -260,7 +261,7 @@
 
 void Session::close_after() { closing_ = true; }
 
-bool Session::full() const { return out_.size() + writing_.size() - written_ >= kWriteAhead; }
+bool Session::full() const { return out_.size() - written_ >= kWriteAhead; }
 
 void Session::hold_body(bool held) {
   held_ = held;
@@ -334,31 +335,45 @@
                           });
 }
 
+// Written at once as far as the socket takes it; only a slow client's answer waits for the loop.
 void Session::flush() {
   if (!open_ || busy_) return;
-  if (out_.empty()) {
-    // Half closed first: with bytes of the client still unread, a full close would take the answer back.
-    if (closing_ && ended_ && !std::exchange(shut_, true)) {
-      std::error_code ignored;
-      socket_.shutdown(asio::socket_base::shutdown_send, ignored);
-      since_ = monotonic_now();
+  while (written_ < out_.size()) {
+    std::error_code error;
+    written_ += socket_.write_some(asio::buffer(out_.data() + written_, out_.size() - written_), error);
+    if (error == asio::error::would_block) {
+      busy_ = true;
+      if (written_ > kChunk) out_.erase(0, written_), written_ = 0;
+      socket_.async_wait(asio::socket_base::wait_write, [self = shared_from_this()](std::error_code failed) {
+        self->busy_ = false;
+        if (!self->open_) return;
+        if (failed) return self->broken();
+        self->flush();
+      });
+      if (!full()) more_room();
+      return;
+    }
+    if (error) {
+      asio::post(socket_.get_executor(), [self = shared_from_this()] { self->broken(); });
+      return;
     }
-    return;
   }
-  busy_ = true;
-  writing_.clear();
-  writing_.swap(out_);
+  out_.clear();
   written_ = 0;
-  asio::async_write(socket_, asio::buffer(writing_),
-                    [self = shared_from_this()](std::error_code error, std::size_t) {
-                      self->busy_ = false;
-                      self->writing_.clear();
-                      self->written_ = 0;
-                      if (!self->open_) return;
-                      if (error) return self->broken();
-                      if (self->begun_ && !self->ended_ && !self->full()) self->door_.service_.room(*self);
-                      self->flush();
-                    });
+  if (begun_ && !ended_) return more_room();
+  // Half closed first: with bytes of the client still unread, a full close would take the answer back.
+  if (closing_ && ended_ && !std::exchange(shut_, true)) {
+    std::error_code ignored;
+    socket_.shutdown(asio::socket_base::shutdown_send, ignored);
+    since_ = monotonic_now();
+  }
+}
+
+// Told on a turn of its own: the service may take a block I/O on it.
+void Session::more_room() {
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    if (self->open_ && self->begun_ && !self->ended_ && !self->full()) self->door_.service_.room(*self);
+  });
 }
 
 void Session::broken() {
--- a/src/door/session.h
+++ b/src/door/session.h
@@ -78,12 +78,13 @@
   bool take_header();
   bool take_target(std::string_view target);
   void maybe_next();
+  void more_room();
 
   asio::ip::tcp::socket socket_;
   Door& door_;
   http_parser parser_;
   std::vector<char> chunk_;
-  std::string in_, out_, writing_, target_, name_, value_;
+  std::string in_, out_, target_, name_, value_;
   std::size_t written_ = 0;
   Ask ask_;
   std::string refusal_;
--- a/src/head/daemon.cpp
+++ b/src/head/daemon.cpp
@@ -14,8 +14,6 @@
     40'000;  // between two turns: counted for operators, acted on by the module alone
 constexpr std::uint64_t kExtentsMost = 1u << kExtentBits;
 
-std::string etag(std::uint64_t stamp) { return "ETag: \"" + std::to_string(stamp) + "\"\r\n"; }
-
 }  // namespace
 
 Daemon::Daemon(asio::io_context& io, settings::HeadProvision given)
@@ -226,7 +224,8 @@
   use.used = now;
   // The number is given as it is taken, so that ids tell the order in which this head took them.
   if (e.serial == 0) e.serial = ++last_serial_;
-  const int at = works_.claim();
+  const int at = works_.claim_as_left();
+  works_[at].renew();
   in_hand_.add(at);
   Work& w = works_[at];
   w.live = true;
@@ -315,24 +314,39 @@
   if (e.session) e.session->exchange = -1;
   e.live = false;
   open_.drop(exchange);
-  e = Exchange{};
+  e.session.reset();
+  e.body = {};
   exchanges_.release(exchange);
 }
 
-std::string Daemon::bio_line(const Exchange& e) const {
-  if (e.serial == 0) return {};
+void Daemon::add_bio(const Exchange& e) {
+  if (e.serial == 0) return;
   char text[64];
   std::snprintf(text, sizeof text, "Yewmount-Bio: %llx+%x\r\n",
                 static_cast<unsigned long long>(e.serial << kExtentBits), e.extents);
-  return text;
+  headers_ += text;
+}
+
+// The headers of an answer, in a text that is used again and again.
+std::string_view Daemon::start_headers(const Exchange& e, std::string_view answer) {
+  headers_.assign("Yewmount-Answer: ");
+  headers_ += answer;
+  headers_ += "\r\n";
+  if (e.object.stamp > 0 && answer == "ended") {
+    char text[64];
+    std::snprintf(text, sizeof text, "ETag: \"%llu\"\r\n", static_cast<unsigned long long>(e.object.stamp));
+    headers_ += text;
+  }
+  if (answer != "ended") headers_ += "Content-Type: application/json\r\n";
+  add_bio(e);
+  return headers_;
 }
 
 void Daemon::answer_plain(Exchange& e, int status, std::string_view why) {
   if (!e.session || e.answered) return;
   e.answered = true;
   const nlohmann::json body = {{"answer", "not taken"}, {"reason", why}};
-  e.session->answer(status, "Content-Type: application/json\r\nYewmount-Answer: not-taken\r\n" + bio_line(e),
-                    body.dump() + "\n");
+  e.session->answer(status, start_headers(e, "not-taken"), body.dump() + "\n");
 }
 
 void Daemon::answer_shed(Exchange& e) {
@@ -341,22 +355,19 @@
   e.answered = true;
   const nlohmann::json body = {
       {"answer", "shed"}, {"retry", "harmless"}, {"come_back_after_ms", advice / 1000}};
-  e.session->answer(503,
-                    "Content-Type: application/json\r\nYewmount-Answer: shed\r\nRetry-After: " +
-                        std::to_string(std::max<Micros>(1, (advice + kSecond - 1) / kSecond)) +
-                        "\r\nYewmount-Retry-After-Ms: " + std::to_string(advice / 1000) + "\r\n" +
-                        bio_line(e),
-                    body.dump() + "\n");
+  start_headers(e, "shed");
+  headers_ += "Retry-After: " + std::to_string(std::max<Micros>(1, (advice + kSecond - 1) / kSecond)) +
+              "\r\nYewmount-Retry-After-Ms: " + std::to_string(advice / 1000) + "\r\n";
+  e.session->answer(503, headers_, body.dump() + "\n");
 }
 
 void Daemon::answer_failed(Exchange& e, std::string_view why) {
   if (!e.session || e.answered) return;
   e.answered = true;
   const nlohmann::json body = {{"answer", "failed"}, {"may_have_run", e.may_have_run}, {"reason", why}};
-  e.session->answer(e.may_have_run ? 504 : 502,
-                    std::string("Content-Type: application/json\r\nYewmount-Answer: failed\r\n") +
-                        "Yewmount-May-Have-Run: " + (e.may_have_run ? "yes" : "no") + "\r\n" + bio_line(e),
-                    body.dump() + "\n");
+  start_headers(e, "failed");
+  headers_ += e.may_have_run ? "Yewmount-May-Have-Run: yes\r\n" : "Yewmount-May-Have-Run: no\r\n";
+  e.session->answer(e.may_have_run ? 504 : 502, headers_, body.dump() + "\n");
 }
 
 void Daemon::asked(door::Session& session, const door::Ask& ask) {
@@ -383,7 +394,8 @@
                                                          : settings::Method::get;
   const int group = given_.group_for(ask.volume, method, std::max<std::int64_t>(ask.length, 0));
   if (group < 0 && ask.method != door::Method::drop) return refuse(403, "no I/O group takes this");
-  const int at = exchanges_.claim();
+  const int at = exchanges_.claim_as_left();
+  exchanges_[at].renew();
   open_.add(at);
   Exchange& e = exchanges_[at];
   e.live = true;
@@ -431,6 +443,7 @@
     rules_->client_left(w.id);
     work_index_.drop(w.id);
     in_hand_.drop(e.work);
+    w.data = {};
     works_.release(e.work);
     e.work = -1;
   }
@@ -475,8 +488,9 @@
   e.left = static_cast<std::uint64_t>(last - first + 1);
   if (e.ask.method == door::Method::head || size == 0) {
     e.answered = true;
-    e.session->begin_answer(200, etag(e.object.stamp) + "Accept-Ranges: bytes\r\nYewmount-Answer: ended\r\n",
-                            e.left);
+    start_headers(e, "ended");
+    headers_ += "Accept-Ranges: bytes\r\n";
+    e.session->begin_answer(200, headers_, e.left);
     e.session->end_answer();
     return over(at);
   }
@@ -530,12 +544,12 @@
     return over(at);
   }
   if (!e.session->answering()) {
-    std::string headers =
-        etag(e.object.stamp) + "Accept-Ranges: bytes\r\nYewmount-Answer: ended\r\n" + bio_line(e);
+    start_headers(e, "ended");
+    headers_ += "Accept-Ranges: bytes\r\n";
     if (e.ask.has_range)
-      headers += "Content-Range: bytes " + std::to_string(e.from) + '-' +
-                 std::to_string(e.from + e.left - 1) + '/' + std::to_string(e.object.length) + "\r\n";
-    e.session->begin_answer(e.ask.has_range ? 206 : 200, headers, e.left);
+      headers_ += "Content-Range: bytes " + std::to_string(e.from) + '-' +
+                  std::to_string(e.from + e.left - 1) + '/' + std::to_string(e.object.length) + "\r\n";
+    e.session->begin_answer(e.ask.has_range ? 206 : 200, headers_, e.left);
     e.answered = true;
   }
   e.session->send(data);
@@ -652,9 +666,8 @@
     case catalogue::Fate::done: {
       e.answered = true;
       const bool fresh = result.before.stamp == 0;
-      if (e.session)
-        e.session->answer(fresh ? 201 : 204,
-                          etag(result.now.stamp) + "Yewmount-Answer: ended\r\n" + bio_line(e), "");
+      e.object.stamp = result.now.stamp;
+      if (e.session) e.session->answer(fresh ? 201 : 204, start_headers(e, "ended"), "");
       over(at);
       return discard(volume, object, result.before);
     }
@@ -699,7 +712,8 @@
   const int group = given_.group_for(volume, settings::Method::drop, 0);
   if (group < 0) return;
   for (const wire::Placed& p : old.extents) {
-    const int at = exchanges_.claim();
+    const int at = exchanges_.claim_as_left();
+    exchanges_[at].renew();
     open_.add(at);
     Exchange& e = exchanges_[at];
     e.live = true;
--- a/src/head/daemon.h
+++ b/src/head/daemon.h
@@ -55,6 +55,13 @@
     std::string volume, object, data;
     int ended_at = -1;  // the node that ended it
     Step next = nullptr;
+
+    // As new, with its memory kept: the ordinary path allocates nothing.
+    void renew() {
+      Work fresh;
+      fresh.volume.swap(volume), fresh.object.swap(object);
+      *this = std::move(fresh);
+    }
   };
 
   struct Exchange {  // of a client; its session may have left
@@ -73,6 +80,14 @@
     std::string body;                  // not yet taken
     std::uint64_t body_bytes = 0;
     bool body_done = false;
+
+    void renew() {
+      Exchange fresh;
+      fresh.ask.volume.swap(ask.volume), fresh.ask.object.swap(ask.object), fresh.ask.path.swap(ask.path);
+      fresh.object.extents.swap(object.extents);
+      *this = std::move(fresh);
+      object.extents.clear();
+    }
   };
 
   struct VolumeUse {
@@ -126,7 +141,8 @@
   void answer_shed(Exchange& e);
   void answer_failed(Exchange& e, std::string_view why);
   void answer_plain(Exchange& e, int status, std::string_view why);
-  std::string bio_line(const Exchange& e) const;
+  void add_bio(const Exchange& e);
+  std::string_view start_headers(const Exchange& e, std::string_view answer);
   void over(int exchange);
   Exchange* alive(int exchange, std::uint64_t token);
   std::function<void(catalogue::Result&&)> then(int exchange, void (Daemon::*step)(int, catalogue::Result&&));
@@ -148,6 +164,7 @@
   int volumes_ = 0;
   std::vector<std::pair<Micros, std::uint64_t>> wakes_;
   Counts counts_;
+  std::string headers_;  // of the answer that is being made
   std::uint64_t last_serial_ = 0, last_extent_ = 0, last_token_ = 0;
   Micros swept_ = 0, turned_ = 0, drain_from_ = -1, started_;
 };
--- a/src/rules/slab.h
+++ b/src/rules/slab.h
@@ -32,6 +32,13 @@
     places_[at] = T{};
     return at;
   }
+  // The place as its last owner left it, for owners that keep what they have allocated.
+  int claim_as_left() {
+    if (free_.empty()) return claim();
+    int at = free_.back();
+    free_.pop_back();
+    return at;
+  }
   void release(int at) { free_.push_back(at); }
   T& operator[](int at) { return places_[at]; }
   const T& operator[](int at) const { return places_[at]; }
