--- a/src/door/session.cpp
+++ b/src/door/session.cpp
@@ -10,7 +10,6 @@
 namespace yewmount::door {
 namespace {
 
-constexpr std::size_t kChunk = 32 << 10;      // read at once
 constexpr std::size_t kReadAhead = 64 << 10;  // kept unparsed while an exchange is open
 constexpr std::size_t kWriteAhead = 1 << 20;  // sent ahead of a slow client
 constexpr std::size_t kNameBytes = 1000;      // of a volume and object together
@@ -161,7 +160,7 @@
 };
 
 Session::Session(asio::ip::tcp::socket socket, Door& door)
-    : socket_(std::move(socket)), door_(door), chunk_(kChunk), since_(monotonic_now()) {
+    : socket_(std::move(socket)), door_(door), since_(monotonic_now()) {
   http_parser_init(&parser_, HTTP_REQUEST);
   parser_.data = this;
   std::error_code ignored;
@@ -317,22 +316,24 @@
   parsing_ = false;
 }
 
+// Waits for bytes without a buffer of its own: ten thousand idle connections must stay cheap.
 void Session::read() {
   if (!open_ || reading_ || in_.size() >= kReadAhead) return;
   reading_ = true;
-  socket_.async_read_some(asio::buffer(chunk_),
-                          [self = shared_from_this()](std::error_code error, std::size_t bytes) {
-                            self->reading_ = false;
-                            if (!self->open_) return;
-                            if (error) return self->broken();
-                            self->heard_ = monotonic_now();
-                            if (!self->closing_ || self->exchange_open_)
-                              self->in_.append(self->chunk_.data(), bytes);
-                            self->parse();
-                            // What comes after a refusal is read and dropped, so that the refusal arrives.
-                            if (self->closing_) self->in_.clear();
-                            self->read();
-                          });
+  socket_.async_wait(asio::socket_base::wait_read, [self = shared_from_this()](std::error_code error) {
+    self->reading_ = false;
+    if (!self->open_) return;
+    std::vector<char>& chunk = self->door_.chunk_;
+    const std::size_t bytes = error ? 0 : self->socket_.read_some(asio::buffer(chunk), error);
+    if (error == asio::error::would_block) return self->read();
+    if (error) return self->broken();
+    self->heard_ = monotonic_now();
+    if (!self->closing_ || self->exchange_open_) self->in_.append(chunk.data(), bytes);
+    self->parse();
+    // What comes after a refusal is read and dropped, so that the refusal arrives.
+    if (self->closing_) self->in_.clear();
+    self->read();
+  });
 }
 
 // Written at once as far as the socket takes it; only a slow client's answer waits for the loop.
@@ -343,7 +344,7 @@
     written_ += socket_.write_some(asio::buffer(out_.data() + written_, out_.size() - written_), error);
     if (error == asio::error::would_block) {
       busy_ = true;
-      if (written_ > kChunk) out_.erase(0, written_), written_ = 0;
+      if (written_ > kReadAhead) out_.erase(0, written_), written_ = 0;
       socket_.async_wait(asio::socket_base::wait_write, [self = shared_from_this()](std::error_code failed) {
         self->busy_ = false;
         if (!self->open_) return;
--- a/src/door/session.h
+++ b/src/door/session.h
@@ -83,7 +83,6 @@
   asio::ip::tcp::socket socket_;
   Door& door_;
   http_parser parser_;
-  std::vector<char> chunk_;
   std::string in_, out_, target_, name_, value_;
   std::size_t written_ = 0;
   Ask ask_;
@@ -113,6 +112,7 @@
   friend class Session;
   Provision given_;
   Service& service_;
+  std::vector<char> chunk_ = std::vector<char>(32 << 10);  // for whichever connection is being read
   std::vector<std::shared_ptr<Session>> sessions_, dirty_, flushing_;
   std::uint64_t turned_back_ = 0;
   net::Listener listener_;
