--- a/fuzz/wire_fuzz.cpp
+++ b/fuzz/wire_fuzz.cpp
@@ -1,4 +1,6 @@
 // libFuzzer target: bytes off a socket, cut into frames and decoded.
+#include <algorithm>
+
 #include "fuzz/wire_any.h"
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
