--- a/src/days/runner.cpp
+++ b/src/days/runner.cpp
@@ -43,7 +43,7 @@
 class Day {
  public:
   Day(const std::string& file, std::string folder, std::string binaries, std::string head_program)
-      : day_(settings::load(file, "day")),
+      : day_(load(file)),
         folder_(std::move(folder)),
         binaries_(std::move(binaries)),
         head_program_(head_program.empty() ? bin("yewmountd") : std::move(head_program)) {
@@ -144,6 +144,23 @@
     if (!p.ended(3'000'000, code)) p.kill();
   }
 
+  // A day may tell only what is other than in one that it is like (a merge patch, RFC 7386).
+  static json load(const std::string& file) {
+    const auto read = [](const std::string& path) {
+      std::string text;
+      if (const std::string why = read_file(path, text); !why.empty()) throw settings::Bad(why);
+      return settings::parse(text, path);
+    };
+    json day = read(file);
+    if (day.is_object() && day.contains("like") && day["like"].is_string()) {
+      json like = read((fs::path(file).parent_path() / day["like"].get<std::string>()).string());
+      day.erase("like");
+      like.merge_patch(day);
+      day = std::move(like);
+    }
+    return settings::check(day.dump(), file, "day");
+  }
+
   // What the schema can't say: names that nothing answers to.
   void check() const {
     std::map<std::string, bool> names;
--- a/src/settings/checked.cpp
+++ b/src/settings/checked.cpp
@@ -41,16 +41,19 @@
 
 }  // namespace
 
-json check(const std::string& text, const std::string& path, std::string_view schema_name) {
-  json given;
+json parse(const std::string& text, const std::string& path) {
   try {
     refuse_twins(text, path);
-    given = json::parse(text);
+    return json::parse(text);
   } catch (const json::exception& e) {
     std::string why = e.what();
     if (const auto end = why.find("] "); end != std::string::npos) why = why.substr(end + 2);
     throw Bad(path + ": not JSON: " + why);
   }
+}
+
+json check(const std::string& text, const std::string& path, std::string_view schema_name) {
+  const json given = parse(text, path);
   valijson::Schema schema_tree;
   valijson::SchemaParser parser;
   const json schema_json = json::parse(schema(schema_name));
--- a/src/settings/checked.h
+++ b/src/settings/checked.h
@@ -15,6 +15,9 @@
 // The schema's text by its file name without ending ("head", "day", ...); empty: there is none.
 std::string_view schema(std::string_view name);
 
+// JSON alone, checked against nothing but that no key stands twice in one object.
+nlohmann::json parse(const std::string& text, const std::string& path);
+
 // Whole JSON that fits the schema, or Bad. A key that stands twice in one object is refused too.
 nlohmann::json load(const std::string& path, std::string_view schema_name);
 nlohmann::json check(const std::string& text, const std::string& path, std::string_view schema_name);
--- a/standins/lines.h
+++ b/standins/lines.h
@@ -2,8 +2,10 @@
 // process, and a control door that takes commands as JSON lines. Nothing here is part of the program.
 #pragma once
 #include <asio.hpp>
+#include <csignal>
 #include <cstdio>
 #include <functional>
+#include <iostream>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -43,6 +45,24 @@
   std::string text_;
 };
 
+// The loop of a stand-in: says that it is ready, then turns until it is told to end. Server: next(),
+// turn_over().
+template <class Server>
+void serve(asio::io_context& io, Server& server, const nlohmann::json& ready) {
+  asio::signal_set signals(io, SIGTERM, SIGINT);
+  bool stop = false;
+  signals.async_wait([&](std::error_code error, int) { stop = !error; });
+  std::cout << ready.dump() << std::endl;
+  server.turn_over();
+  while (!stop) {
+    const std::int64_t wait = std::max<std::int64_t>(0, server.next() - monotonic_now());
+    io.run_one_for(std::chrono::microseconds(wait));
+    for (int n = 0; n < 256 && io.poll_one() > 0; ++n) {
+    }
+    server.turn_over();
+  }
+}
+
 class Control {
  public:
   using Obey = std::function<void(const nlohmann::json&)>;
--- a/standins/list_main.cpp
+++ b/standins/list_main.cpp
@@ -169,22 +169,10 @@
   try {
     asio::io_context io(1);
     std::signal(SIGPIPE, SIG_IGN);
-    asio::signal_set signals(io, SIGTERM, SIGINT);
-    bool stop = false;
-    signals.async_wait([&](std::error_code error, int) { stop = !error; });
     standins::List list(io, port, control, record);
-    std::cout << nlohmann::json{{"ready", true},
-                                {"name", "list"},
-                                {"port", list.port()},
-                                {"control_port", list.control_port()}}
-                     .dump()
-              << std::endl;
-    while (!stop) {
-      io.run_one_for(std::chrono::microseconds(std::max<std::int64_t>(0, list.next() - monotonic_now())));
-      for (int n = 0; n < 256 && io.poll_one() > 0; ++n) {
-      }
-      list.turn_over();
-    }
+    standins::serve(
+        io, list,
+        {{"ready", true}, {"name", "list"}, {"port", list.port()}, {"control_port", list.control_port()}});
     return 0;
   } catch (const std::exception& e) {
     std::cerr << "yewmount-list: " << e.what() << std::endl;
