Time-outs of what has ended are not kept until they are due

The carrier's heap grew with the rate times the longest hard limit: at 50,000 a second and ten minutes, 30 million entries of what had ended long ago. It is made anew from what is out once it holds twice as much.

--- a/src/carrier/carrier.cpp
+++ b/src/carrier/carrier.cpp
@@ -11,6 +11,7 @@
                                     << 63;  // ids of block I/Os stay below it when shifted by their submits
 constexpr int kSubmitBits = 3;
 constexpr Micros kSweep = 1'000'000;
+constexpr std::size_t kDueSpare = 1024;  // time-outs of what has ended that are let lie
 
 std::uint64_t key_of(std::uint64_t id, int no) { return id << kSubmitBits | static_cast<unsigned>(no); }
 
@@ -108,7 +109,17 @@
   out.node = node;
   out.at = now;
   index_.add(out.key, at);
-  due_.push({out.until, out.key});
+  // Guards against a heap that grows with the rate times the longest hard limit, though all have ended long
+  // ago.
+  if (due_.size() > 2 * live_.size() + kDueSpare) {
+    due_.clear();
+    for (int o : live_)
+      if (outs_[o].until < INT64_MAX) due_.push_back({outs_[o].until, outs_[o].key});
+    std::make_heap(due_.begin(), due_.end());
+  } else {
+    due_.push_back({out.until, out.key});
+    std::push_heap(due_.begin(), due_.end());
+  }
   const bool known = node >= 0 && node < static_cast<int>(peers_.size()) && peers_[node].known;
   out.line = known ? line_for(node, now) : -1;
   if (out.line < 0) {
@@ -235,9 +246,10 @@
   for (const Soon& s : now_telling_)
     if (const int at = find(s.key); at >= 0) end(at, s.result, now);
   now_telling_.clear();
-  while (!due_.empty() && due_.top().until <= now) {
-    const std::uint64_t key = due_.top().key;
-    due_.pop();
+  while (!due_.empty() && due_.front().until <= now) {
+    const std::uint64_t key = due_.front().key;
+    std::pop_heap(due_.begin(), due_.end());
+    due_.pop_back();
     const int at = find(key);
     if (at < 0 || outs_[at].until > now) continue;
     // Guards the promise of no second effect: a frame that may be on its way counts as run. Only what still
--- a/src/carrier/carrier.h
+++ b/src/carrier/carrier.h
@@ -5,7 +5,6 @@
 #include <asio.hpp>
 #include <cstdint>
 #include <memory>
-#include <queue>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -68,6 +67,7 @@
   void flush();
   std::size_t out() const { return live_.size(); }
   std::size_t connections() const;
+  std::size_t kept() const { return due_.size(); }  // time-outs remembered, for tests of what is kept
 
   void on_frame(net::Link& link, const wire::Frame& frame) override;
   void on_closed(net::Link& link, const std::string& why) override;
@@ -120,7 +120,7 @@
   Slab<Out> outs_;
   DensePlaces live_;
   TicketIndex index_;
-  std::priority_queue<Due> due_;
+  std::vector<Due> due_;  // a heap, the soonest first; entries of what has ended are swept out
   struct Soon {
     std::uint64_t key;
     Result result;
--- a/tests/carrier/carrier_test.cpp
+++ b/tests/carrier/carrier_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <random>
 
@@ -245,6 +246,36 @@
   EXPECT_EQ(carrier.out(), 2u) << "what may have run is still waited for";
 }
 
+// Guards against memory that grows with the rate times the longest hard limit.
+TEST_F(Carrying, TimeOutsOfWhatHasEndedAreNotKept) {
+  peer.on_connect = [](Peer::Conn& c) { c.hello("n0"); };
+  peer.on_submit = [](Peer::Conn& c, const wire::Submit& s) { c.answer(s.id, s.no); };
+  submit(1, 200'000);
+  for (std::uint64_t i = 2; i <= 8000; ++i) {
+    submit(i, 3'600'000'000);
+    if (i % 20 == 0) {
+      ASSERT_TRUE(until(i));
+    }
+  }
+  ASSERT_TRUE(until(8000));
+  EXPECT_LT(carrier.kept(), 2000u);
+  // One that was out while the heap was made anew still has its time.
+  peer.on_submit = nullptr;
+  submit(9001, 150'000);
+  peer.on_submit = [](Peer::Conn& c, const wire::Submit& s) {
+    if (s.id != 9001) c.answer(s.id, s.no);
+  };
+  for (std::uint64_t i = 10'000; i < 13'000; ++i) {
+    submit(i, 3'600'000'000);
+    if (i % 30 == 29) turn(), io.restart(), io.run_one_for(std::chrono::milliseconds(1));
+  }
+  ASSERT_TRUE(until(8000 + 1 + 3000));
+  const auto it =
+      std::find_if(heard.all.begin(), heard.all.end(), [](const auto& e) { return e.id == 9001; });
+  ASSERT_NE(it, heard.all.end());
+  EXPECT_EQ(it->result, Result::no_answer);
+}
+
 TEST_F(Carrying, ACancelledOneIsCalledOffOnce) {
   peer.on_connect = [](Peer::Conn& c) { c.hello("n0"); };
   submit(50);
--- a/tests/support/peer.h
+++ b/tests/support/peer.h
@@ -62,6 +62,7 @@
   void accept() {
     acceptor_.async_accept([this](std::error_code error, asio::ip::tcp::socket s) {
       if (error) return;
+      s.set_option(asio::ip::tcp::no_delay(true));
       conns.push_back(std::make_shared<Conn>(Conn{std::move(s), {}, false, reads, {}, {}, {}, {}, {}}));
       if (on_connect) on_connect(*conns.back());
       if (conns.back()->socket.is_open() && reads) read(conns.back());
