Solver: which nodes hold which volumes, exact where small, by search with a proven bound

Operators want weights, shares and placements worked out ahead by capacity, cost and zones, and a clear word where they can't be met. src/solver holds the model (whole thousandths, no library, no I/O), an exact part on GLPK, a search of small moves and exact steps for large ones, closed-form bounds by flow cuts, and clashes with their least relaxations. src/plans reads problems, members and plans; yewmount plan check, solve, explain, diff. judge/plan is a brute force and a checker that share no code with it.

--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -23,6 +23,10 @@
 yewmount_package(net SOURCES src/net/link.cpp USES yewmount_wire Threads::Threads)
 yewmount_package(settings SOURCES src/settings/checked.cpp src/settings/head.cpp ${schemas}
                  USES yewmount_base yewmount_rules)
+yewmount_package(solver SOURCES src/solver/model.cpp src/solver/exact.cpp src/solver/solve.cpp src/solver/clash.cpp
+                 USES glpk)
+yewmount_package(plans SOURCES src/plans/plan.cpp USES yewmount_settings)
+yewmount_package(planning SOURCES src/plans/problem.cpp src/plans/report.cpp USES yewmount_plans yewmount_solver)
 yewmount_package(carrier SOURCES src/carrier/carrier.cpp USES yewmount_net yewmount_base yewmount_rules)
 yewmount_package(list SOURCES src/list/follower.cpp USES yewmount_net yewmount_settings yewmount_rules)
 yewmount_package(catalogue SOURCES src/catalogue/store.cpp src/catalogue/server.cpp src/catalogue/client.cpp
@@ -47,12 +51,13 @@
 yewmount_program(yewmount-client SOURCES standins/client_main.cpp
                  USES yewmount_net yewmount_settings http_parser)
 
-add_library(yewmount_judge STATIC judge/judge.cpp)  # of the project only its own header: it shares nothing
+add_library(yewmount_judge STATIC judge/judge.cpp judge/plan.cpp)  # of the project only its own header: it shares nothing
 target_include_directories(yewmount_judge PUBLIC ${CMAKE_SOURCE_DIR})
 target_link_libraries(yewmount_judge PUBLIC nlohmann_json::nlohmann_json)
 
 yewmount_package(days SOURCES src/days/processes.cpp src/days/runner.cpp USES yewmount_net yewmount_settings)
-yewmount_program(yewmount SOURCES src/cli/main.cpp USES yewmount_days yewmount_judge yewmount_settings)
+yewmount_program(yewmount SOURCES src/cli/main.cpp src/cli/plan.cpp
+                 USES yewmount_days yewmount_judge yewmount_settings yewmount_planning)
 
 # Benchmarks: cmake --build BUILD --target rules_bench head_bench
 find_package(benchmark QUIET)
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -5,6 +5,7 @@
 #include <iostream>
 
 #include "base/base.h"
+#include "cli/plan.h"
 #include "days/runner.h"
 #include "judge/judge.h"
 #include "settings/checked.h"
@@ -35,7 +36,7 @@
       app.add_subcommand("check", "check a head's settings file; exit 2 with place and reason if bad");
   check->add_option("FILE", file, "settings (schema/head.json)")->required();
   auto* schema = app.add_subcommand("schema", "print a schema that is built in");
-  schema->add_option("NAME", file, "head, day, node, client or list")->required();
+  schema->add_option("NAME", file, "head, day, problem, members, plan, node, client or list")->required();
   auto* day = app.add_subcommand("day", "play and judge scripted days");
   day->require_subcommand(1);
   auto* run = day->add_subcommand(
@@ -47,6 +48,7 @@
   auto* judged = day->add_subcommand("judge", "judge a recording again; exit 1 if a rule broke");
   judged->add_option("DIR", folder, "what --out named")->required();
   judged->add_flag("--json", json, "the verdict as JSON");
+  const cli::PlanCommands plan(app);
   CLI11_PARSE(app, argc, argv);
   try {
     if (check->parsed()) {
@@ -61,6 +63,8 @@
       const std::string self = std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
       days::play(file, folder, self, head);
       return tell(judge::judge_folder(folder), folder, json);
+    } else if (plan.parsed()) {
+      return plan.run();
     } else if (judged->parsed()) {
       return tell(judge::judge_folder(folder), folder, json);
     }
