Heads take numbered plans while they serve: whole or not at all, never an earlier one

The solver's plans are to change volumes' reserves, weights and the nodes of new objects under load. The module is told plans anew (Head::planned) and draws new objects among a plan's nodes while one of them can take them; the head keeps the plan it took on disk before it acts on it, reads the file at start and on SIGHUP, and turns down what is broken, older, or names a volume it does not serve.

--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -33,7 +33,7 @@
                  USES yewmount_net yewmount_base lmdb)
 yewmount_package(door SOURCES src/door/session.cpp USES yewmount_net yewmount_base http_parser)
 yewmount_package(head SOURCES src/head/daemon.cpp
-                 USES yewmount_carrier yewmount_list yewmount_catalogue yewmount_door yewmount_settings)
+                 USES yewmount_carrier yewmount_list yewmount_catalogue yewmount_door yewmount_settings yewmount_plans)
 
 function(yewmount_program name)
   cmake_parse_arguments(P "" "" "SOURCES;USES" ${ARGN})
@@ -68,3 +68,5 @@
 add_executable(head_bench EXCLUDE_FROM_ALL bench/head_bench.cpp)
 target_link_libraries(head_bench PRIVATE yewmount_days yewmount_net CLI11::CLI11)
 add_library(count_allocations SHARED EXCLUDE_FROM_ALL bench/count_allocations.cpp)
+add_executable(plan_bench EXCLUDE_FROM_ALL bench/plan_bench.cpp)
+target_link_libraries(plan_bench PRIVATE yewmount_planning)
--- a/src/head/daemon.cpp
+++ b/src/head/daemon.cpp
@@ -1,8 +1,11 @@
 #include "head/daemon.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 
 #include "base/base.h"
+#include "settings/checked.h"
 
 namespace yewmount::head {
 namespace {
@@ -32,7 +35,10 @@
   last_serial_ = (start_ & 0xfffff) << 28;
   rules_ = std::make_unique<Head>(given_.rules, *this, started_);
   rules_->at(started_);
+  all_plans_ = given_.rules.plans;
+  remember_plan();
   list_.start(started_);
+  take_plan();
   door_ = std::make_unique<door::Door>(
       io, given_.listen.address, given_.listen.port,
       door::Provision{given_.most_clients, given_.most_header, given_.client_idle, given_.header_within},
@@ -117,9 +123,87 @@
   door_->provide({given.most_clients, given.most_header, given.client_idle, given.header_within});
   given.rules = given_.rules;
   given_ = std::move(given);
+  tell_plans();  // a volume may have come, gone, or changed its plan in the settings
   return {};
 }
 
+// --- plans ------------------------------------------------------------------------------------------------
+
+// What an earlier start took still holds: a restart must not go back, whatever file stands there now.
+void Daemon::remember_plan() {
+  if (given_.plan_held.empty()) return;
+  std::string text;
+  if (const std::string why = read_file(given_.plan_held, text); !why.empty()) {
+    if (::access(given_.plan_held.c_str(), F_OK) != 0) return;  // none was ever taken
+    throw std::runtime_error(why);
+  }
+  plan_.remember(plans::read_plan(text, given_.plan_held));
+  logs::info("plan held", {{"number", plan_.held().number}, {"volumes", plan_.held().volumes.size()}});
+  tell_plans();
+}
+
+void Daemon::take_plan() {
+  if (given_.plan_file.empty()) return;
+  std::string text;
+  if (!read_file(given_.plan_file, text).empty()) {
+    logs::info("no plan file", {{"file", given_.plan_file}});
+    return;
+  }
+  using Verdict = plans::Holder::Verdict;
+  plans::Holder::Outcome outcome;
+  try {
+    plans::Holder offered = plan_;
+    outcome = offered.offer(plans::read_plan(text, given_.plan_file),
+                            [&](const std::string& volume) { return given_.volumes.contains(volume); });
+    if (outcome.verdict == Verdict::same) return;
+    // Kept before it is acted on: what a head once held it never goes behind.
+    if (outcome.verdict == Verdict::taken)
+      if (outcome.why = write_file(given_.plan_held, plans::plan_text(offered.held())); !outcome.why.empty())
+        outcome.verdict = Verdict::turned_down;
+    if (outcome.verdict == Verdict::taken) plan_ = std::move(offered);
+  } catch (const settings::Bad& e) {
+    outcome.why = e.what();
+  }
+  if (outcome.verdict == Verdict::turned_down) {
+    ++counts_.plans_turned_down;
+    logs::error("plan turned down", {{"why", outcome.why}, {"held", plan_.held().number}});
+    return;
+  }
+  ++counts_.plans_taken;
+  tell_plans();
+  logs::info("plan taken", {{"number", plan_.held().number}, {"volumes", plan_.held().volumes.size()}});
+}
+
+int Daemon::plan_of(const std::string& volume) const {
+  if (const auto it = planned_.find(volume); it != planned_.end() && it->second.due) return it->second.plan;
+  const auto known = given_.volumes.find(volume);
+  return known != given_.volumes.end() ? known->second.plan : 0;
+}
+
+// The module's plans: those of the settings as they are, then the planned volumes'. A place once given stays
+// its volume's, so that what is in hand keeps its meaning. Nodes by their indices of now: it is told again
+// with each list, before an index can come to stand for another node.
+void Daemon::tell_plans() {
+  for (auto& [name, planned] : planned_) planned.due = nullptr;
+  for (const plans::Planned& due : plan_.held().volumes) {
+    const auto known = given_.volumes.find(due.name);
+    if (known == given_.volumes.end()) continue;  // it has left the settings since
+    PlannedVolume& planned = planned_[due.name];
+    if (planned.plan < 0) {
+      planned.plan = static_cast<int>(all_plans_.size());
+      all_plans_.emplace_back();
+    }
+    planned.due = &due;
+    Plan& plan = all_plans_[planned.plan];
+    plan = given_.rules.plans[known->second.plan];
+    plan.reserve = due.reserve, plan.weight = due.weight;
+    for (const std::string& node : due.nodes)
+      if (const int at = list_.find(node); at >= 0) plan.nodes.push_back(at);
+  }
+  rules_->at(monotonic_now());
+  rules_->planned(all_plans_);
+}
+
 // --- the list ---------------------------------------------------------------------------------------------
 
 void Daemon::listed(ListKind kind, std::span<const NodeEntry> entries) {
@@ -131,6 +215,7 @@
     }
   logs::info("list",
              {{"kind", static_cast<int>(kind)}, {"version", list_.version()}, {"entries", entries.size()}});
+  if (plan_.held().number > 0) tell_plans();
   rules_->at(monotonic_now());
   rules_->listed(kind, entries);
 }
@@ -261,7 +346,7 @@
                 .object = key,
                 .give_up_at = std::max(give_up, now + 1),
                 .group = group,
-                .plan = volume.plan,
+                .plan = plan_of(w.volume),
                 .volume = use.index,
                 .shard = kind == wire::Kind::write ? -1 : extent.shard,
                 .units = w.units,
@@ -282,7 +367,7 @@
   // What was written and where is read by the step; then the place is free, whatever is still out.
   if (final == Final::ended && w.kind == wire::Kind::write) {
     const std::uint64_t key = stable_hash(w.volume + '/' + w.object);
-    const int home = rules_->home(key);
+    const int home = rules_->home(key, plan_of(w.volume));
     e.object.extents.push_back(
         {w.extent, w.length, list_.node(w.ended_at).shard, home >= 0 ? list_.node(home).shard : -1});
   }
@@ -755,6 +840,9 @@
       {"catalogue_failed_total", counts_.catalogue_failed},
       {"turns_total", counts_.turns},
       {"stood_still_total", counts_.stood_still},
+      {"plans_taken_total", counts_.plans_taken},
+      {"plans_turned_down_total", counts_.plans_turned_down},
+      {"plan_number", plan_.held().number},
       {"longest_turn_us", static_cast<std::uint64_t>(counts_.longest_turn)},
       {"in_hand", in_hand_.size()},
       {"held", f.held},
@@ -782,6 +870,7 @@
                                {"state", drain_from_ >= 0 ? "draining" : "serving"},
                                {"catalogue", catalogue_.connected()},
                                {"list_version", list_.version()},
+                               {"plan", plan_.held().number},
                                {"in_hand", in_hand_.size()}};
   session.answer(fine ? 200 : 503, "Content-Type: application/json\r\n", body.dump() + "\n");
 }
--- a/src/head/daemon.h
+++ b/src/head/daemon.h
@@ -13,6 +13,7 @@
 #include "catalogue/client.h"
 #include "door/session.h"
 #include "list/follower.h"
+#include "plans/plan.h"
 #include "rules/rules.h"
 #include "rules/slab.h"
 #include "settings/head.h"
@@ -21,7 +22,7 @@
 
 struct Counts {
   std::uint64_t taken = 0, ended = 0, shed = 0, failed = 0, submits = 0, further = 0, left = 0, not_taken = 0;
-  std::uint64_t turns = 0, catalogue_failed = 0, stood_still = 0;
+  std::uint64_t turns = 0, catalogue_failed = 0, stood_still = 0, plans_taken = 0, plans_turned_down = 0;
   Micros longest_turn = 0;
 };
 
@@ -37,6 +38,8 @@
   void drain();
   // What may change while it runs; a line that says why not, or empty.
   std::string reload(settings::HeadProvision given);
+  // The plan file as it stands now, taken whole or not at all; says in the log which, and why.
+  void take_plan();
   const Counts& counts() const { return counts_; }
   Head::Footprint footprint() const { return rules_->footprint(); }
 
@@ -90,6 +93,11 @@
     }
   };
 
+  struct PlannedVolume {  // its place in the module's plans stays its own
+    int plan = -1;
+    const plans::Planned* due = nullptr;  // null: no plan speaks of it now
+  };
+
   struct VolumeUse {
     int index = -1;  // the module's; -1: none now
     Micros used = 0;
@@ -118,6 +126,10 @@
   void probe(int node) override;
   void note(std::string_view text) override;
 
+  void remember_plan();
+  void tell_plans();
+  int plan_of(const std::string& volume) const;
+
   void turn();
   void once_a_second();
   void own_page(door::Session& session, const door::Ask& ask);
@@ -161,6 +173,9 @@
   DensePlaces open_, in_hand_;
   std::unordered_map<std::string, VolumeUse> uses_;
   std::vector<int> free_volumes_;
+  plans::Holder plan_;
+  std::unordered_map<std::string, PlannedVolume> planned_;
+  std::vector<Plan> all_plans_;  // of the settings, then one for each volume that a plan ever spoke of
   int volumes_ = 0;
   std::vector<std::pair<Micros, std::uint64_t>> wakes_;
   Counts counts_;
--- a/src/head/main.cpp
+++ b/src/head/main.cpp
@@ -32,8 +32,10 @@
               logs::info("settings taken", {{"file", file}});
             else
               logs::error("settings turned down", {{"file", file}, {"why", why}});
+            daemon.take_plan();
           } catch (const std::exception& e) {
             logs::error("settings turned down", {{"why", e.what()}});
+            daemon.take_plan();
           }
         } else {
           daemon.drain();
--- a/src/list/follower.cpp
+++ b/src/list/follower.cpp
@@ -29,6 +29,11 @@
   return zones_.try_emplace(name, static_cast<int>(zones_.size())).first->second;
 }
 
+int Follower::find(const std::string& name) const {
+  const auto it = indices_.find(name);
+  return it != indices_.end() ? it->second : -1;
+}
+
 int Follower::index_of(const std::string& name) {
   if (const auto it = indices_.find(name); it != indices_.end()) return it->second;
   int at = static_cast<int>(nodes_.size());
--- a/src/list/follower.h
+++ b/src/list/follower.h
@@ -53,6 +53,7 @@
   void flush();
 
   const Known& node(int index) const { return nodes_[index]; }
+  int find(const std::string& name) const;  // -1: never heard of, or forgotten
   int size() const { return static_cast<int>(nodes_.size()); }
   std::uint64_t version() const { return version_; }
   int zone(const std::string& name);
--- a/src/plans/report.cpp
+++ b/src/plans/report.cpp
@@ -80,12 +80,18 @@
     if (each[n].loss >= 0) one["worst"] = loss_name(p, each[n].loss);
     all["nodes"].push_back(one);
   }
-  all["figures"] = {{"level", in_units(a.level)},       {"level_bound", in_units(a.level_bound)},
-                    {"level_gap", a.level_gap()},       {"level_step", a.figures.step},
-                    {"cost_step", a.figures.cost_step}, {"moved", a.figures.moved},
-                    {"moved_at_least", a.moved_floor},  {"cost", a.figures.cost},
-                    {"cost_bound", a.cost_bound},       {"rank", a.figures.rank},
-                    {"proven_best", a.proven},          {"in_time", a.in_time}};
+  all["figures"] = {{"level", in_units(a.level)},
+                    {"level_bound", in_units(a.level_bound)},
+                    {"level_gap", a.level_gap()},
+                    {"level_step", a.figures.step},
+                    {"cost_step", a.figures.cost_step},
+                    {"moved", a.figures.moved},
+                    {"moved_at_least", a.moved_floor},
+                    {"cost", in_units(a.figures.cost)},
+                    {"cost_bound", in_units(a.cost_bound)},
+                    {"rank", a.figures.rank},
+                    {"proven_best", a.proven},
+                    {"in_time", a.in_time}};
   return all;
 }
 
@@ -108,12 +114,11 @@
                  in_units(each[n].worst), each[n].loss >= 0 ? loss_name(p, each[n].loss).c_str() : "-");
   if (p.nodes.size() > kLines) text += line("and %zu more nodes\n", p.nodes.size() - kLines);
   text += line(
-      "\nlevel %.3f of at most %.3f a weight of one (gap %.2f %%), cost %lld (at least %lld), moved %lld "
+      "\nlevel %.3f of at most %.3f a weight of one (gap %.2f %%), cost %.0f (at least %.0f), moved %lld "
       "(at least %lld)%s%s\n",
-      in_units(a.level), in_units(a.level_bound), 100 * a.level_gap(), static_cast<long long>(a.figures.cost),
-      static_cast<long long>(a.cost_bound), static_cast<long long>(a.figures.moved),
-      static_cast<long long>(a.moved_floor), a.proven ? "; proven best" : "",
-      a.in_time ? "" : "; time was over, best so far");
+      in_units(a.level), in_units(a.level_bound), 100 * a.level_gap(), in_units(a.figures.cost),
+      in_units(a.cost_bound), static_cast<long long>(a.figures.moved), static_cast<long long>(a.moved_floor),
+      a.proven ? "; proven best" : "", a.in_time ? "" : "; time was over, best so far");
   return text;
 }
 
--- a/src/rules/rules.cpp
+++ b/src/rules/rules.cpp
@@ -108,8 +108,8 @@
     double unit_gain = 0;
   };
 
-  struct Due {  // of a plan, for one volume over all heads
-    double reserve, share, limit, burst, gain_factor, nominal;
+  struct Due : Plan {  // for one volume over all heads
+    double share;
   };
 
   struct Line {  // of one key, where order is kept
@@ -189,7 +189,7 @@
   }
 
   // Heads take turns by number, several sharing one where there are more heads than turns.
-  bool own_turn(Micros slot, int turns) const { return now_ / slot % turns == own_number_ % turns; }
+  bool own_turn(Micros slot, int turns) const { return now_ / slot % turns == given_.own_number % turns; }
 
   bool shut(const Node& n) const { return n.mute || n.strikes >= kStrikes; }
 
@@ -203,10 +203,11 @@
     // many heads as have use for a node at one time (by how many nodes this one has). Where the part is less
     // than one request, heads take turns by number. Harms when the others have no use for it.
     const double used = n.sent.sum(now_, overload_for_);
-    const double part = cold_bears_ * kColdMargin * warmth(n) / cold_from_ / std::max(1.0, heads_ * reach_);
+    const double part =
+        given_.cold_bears * kColdMargin * warmth(n) / cold_from_ / std::max(1.0, heads_ * reach_);
     // What it served this head lately is proof of more: if all heads keep to it, all stay under the multiple.
-    const double proven = fall_multiple_ * kColdProven * n.done.sum(now_, overload_for_);
-    const int turns = std::clamp(static_cast<int>(std::ceil(usual_units_ / part)), 1, heads_);
+    const double proven = given_.fall_multiple * kColdProven * n.done.sum(now_, overload_for_);
+    const int turns = std::clamp(static_cast<int>(std::ceil(given_.usual_units / part)), 1, heads_);
     return used + units <= std::max(part, proven) || (used == 0 && own_turn(overload_for_, turns));
   }
 
@@ -275,7 +276,7 @@
   // after a long rest any first submit is a trial, which breaks no promise. Also heals all nodes at once
   // after a common cause; harms the one block I/O that finds the node still sick.
   bool rarely_tried(const Node& n) const {
-    return !may_probe_ && shut(n) && now_ - std::max(n.tried, n.fine) >= kTrialRare;
+    return !given_.may_probe && shut(n) && now_ - std::max(n.tried, n.fine) >= kTrialRare;
   }
 
   bool trial(Node& n, const Bio& b) {
@@ -313,7 +314,18 @@
   // Harms when one big block I/O was the slow one: then new objects pass by the node for a moment.
   double weight(const Node& n) const { return std::max(n.load, mean_rate_ * std::max(n.lag, silence(n))); }
 
-  int home_of(std::uint64_t object) const { return by_name_[object % by_name_.size()]; }
+  bool told(int plan, int node) const {
+    const std::vector<int>& nodes = due_[plan].nodes;
+    return std::find(nodes.begin(), nodes.end(), node) != nodes.end();
+  }
+
+  int home_of(std::uint64_t object, int plan) {
+    homes_.clear();
+    for (int i : by_name_)
+      if (told(plan, i)) homes_.push_back(i);
+    const std::vector<int>& among = homes_.empty() ? by_name_ : homes_;
+    return among[object % among.size()];
+  }
 
   int place(const Bio& b) {
     // Within a turn nodes only fill and prices only rise: what found no room tells for all as large that
@@ -321,12 +333,13 @@
     const std::size_t size = std::min<std::size_t>(b.io.units, full_for_.size() - 1);
     if (b.gain <= full_for_[size]) return -1;
     fit_.clear();
-    for (int pass = 0; pass < 2 && fit_.empty(); ++pass)
+    // Nodes restarted cold together look empty: while a warm one has room, new objects pass them by. A plan's
+    // nodes come first, the others while none of them can take it: a plan must not idle the rest in a surge.
+    for (int pass = due_[b.io.plan].nodes.empty() ? 1 : 0; pass < 3 && fit_.empty(); ++pass)
       for (int i : by_name_) {
         Node& n = nodes_[i];
-        // Nodes restarted cold together look empty: while a warm one has room, new objects pass them by.
         if (n.state != NodeState::ready || n.blocked) continue;
-        if (pass == 0 && cold(n)) continue;
+        if ((pass == 0 && !told(b.io.plan, i)) || (pass < 2 && cold(n))) continue;
         if (barred(b, i) || priced_out(b, n) || !room(n, b.io.units)) continue;
         fit_.push_back(i);
       }
@@ -335,7 +348,7 @@
         full_for_[u] = std::max(full_for_[u], b.gain);
       return -1;
     }
-    const int home = home_of(b.io.object);
+    const int home = home_of(b.io.object, b.io.plan);
     const bool home_fit = std::find(fit_.begin(), fit_.end(), home) != fit_.end();
     std::stable_sort(fit_.begin(), fit_.end(),
                      [&](int x, int y) { return nodes_[x].probability > nodes_[y].probability; });
@@ -343,7 +356,7 @@
     const int one = fit_[chance_() % half], two = fit_[chance_() % half];
     const int target = weight(nodes_[two]) < weight(nodes_[one]) ? two : one;
     if (!home_fit) return target;
-    return weight(nodes_[home]) - weight(nodes_[target]) > threshold_ ? target : home;
+    return weight(nodes_[home]) - weight(nodes_[target]) > kThreshold * given_.usual_units ? target : home;
   }
 
   void fill(Volume& v, const Due& due) {
@@ -357,8 +370,8 @@
     const double keep = std::exp(-dt * 1e6 / kUseMemory);
     v.here *= keep;
     v.elsewhere *= keep;
-    const double prior = usual_units_;
-    const double part = others_told_ || use_told_
+    const double prior = given_.usual_units;
+    const double part = given_.tells_elsewhere || given_.meter_period > 0
                             ? (v.here + prior) / (v.here + v.elsewhere + prior * v.heads)
                             : std::pow(v.heads, -kUntoldPart);
     v.reserve = std::min(v.reserve + due.reserve * part * dt, due.reserve * part + most_units_);
@@ -378,7 +391,7 @@
     v.share -= b.of_share;
     const double beyond = units - b.of_reserve - b.of_share;
     b.gain = groups_[b.io.group].unit_gain * due.gain_factor / units *
-             (b.of_reserve + b.of_share * share_gain_ + beyond * beyond_gain_);
+             (b.of_reserve + b.of_share * given_.share_gain + beyond * given_.beyond_gain);
     b.room = (b.of_reserve + b.of_share * kRoomShare + beyond * kRoomBeyond) / units;
     if (late) b.gain *= groups_[b.io.group].late_part, b.room = kRoomBeyond;
   }
@@ -424,11 +437,9 @@
   }
 
   bool further_allowed() {
-    if (budget_span_ < 0) return further_ >= 1;
-    while (!furthers_.empty() && furthers_.front() <= now_ - budget_span_) furthers_.pop_front();
-    while (!takes_.empty() && takes_.front() < now_ - budget_span_) takes_.pop_front();
-    const double allowed = budget_spare_ + budget_share_ * static_cast<double>(takes_.size());
-    return further_ >= 1 && static_cast<double>(furthers_.size()) + 1 <= allowed;
+    if (given_.budget_span < 0) return further_ >= 1;
+    const double allowed = budget_spare_ + budget_share_ * takes_.since(now_ - given_.budget_span);
+    return further_ >= 1 && furthers_.since(now_ - given_.budget_span + 1) + 1 <= allowed;
   }
 
   bool has_turn(const Bio& b) {
@@ -458,7 +469,7 @@
     b.next = &Desk::after_submit;
     if (s.further) {
       further_ -= 1;
-      if (budget_span_ >= 0) furthers_.push_back(now_);
+      if (given_.budget_span >= 0) furthers_.add(now_, now_ - given_.budget_span);
     }
     if (due_[b.io.plan].limit > 0 && !b.charged) volumes_[b.io.volume].limit -= b.io.units;
     b.charged = true;
@@ -495,7 +506,7 @@
 
   void give_up(Bio& b) {
     if (may_shed(b))
-      out_.shed(b.io.id, takes_advice_ ? std::min<Micros>(longest_advice_, tightest_goal_) : 0);
+      out_.shed(b.io.id, given_.takes_advice ? std::min<Micros>(given_.longest_advice, tightest_goal_) : 0);
     else
       out_.fail(b.io.id);
     finish(b, false);
@@ -516,6 +527,7 @@
   }
 
   void listed(ListKind kind, std::span<const NodeEntry> entries);
+  void planned(std::span<const Plan> plans);
   bool forget_node(int node);
   bool forget_volume(int volume);
   void take(const BlockIo& io);
@@ -524,16 +536,16 @@
   void tick();
   void ask_list();
 
+  const Provisioning given_;
   Surroundings& out_;
   Micros now_;
   std::ranlux24_base chance_;
   std::vector<Group> groups_;
   std::vector<Due> due_;
-  int heads_, own_number_, most_submits_;
-  bool use_told_, may_probe_, takes_advice_, others_told_, list_asked_, sizes_told_;
-  Micros longest_advice_, ask_every_, overload_for_, warm_within_, turn_rest_, budget_span_;
-  double tightest_goal_ = 0, threshold_, most_units_, usual_units_, share_gain_, beyond_gain_;
-  double cold_bears_, cold_from_, fall_multiple_, budget_spare_, budget_share_;
+  int heads_, most_submits_;
+  Micros overload_for_, warm_within_, turn_rest_;
+  double tightest_goal_ = 0, most_units_;
+  double cold_from_, budget_spare_, budget_share_;
   double mean_rate_ = 0, unit_time_ = 0, unit_step_ = 0.5, wait_ = 0, calm_ = 1, reach_ = 1, luck_ = 0.5,
          further_ = 1;
   Micros ask_at_ = 0, woken_ = 0;
@@ -541,44 +553,29 @@
   std::uint64_t turn_ = 1;
   TicketIndex index_;
   std::vector<Node> nodes_;
-  std::vector<int> by_name_, fit_, joined_, done_, holders_, forsaken_;
+  std::vector<int> by_name_, fit_, homes_, joined_, done_, holders_, forsaken_;
   SortedPlaces held_;
   DensePlaces hand_;
   std::vector<double> full_for_;  // by units: the most gain that found no room this turn
   std::vector<Volume> volumes_;
   std::vector<Linger> lingers_;
-  std::deque<Micros> takes_, furthers_;
+  RecentMoments takes_, furthers_;
   std::unordered_map<std::uint64_t, Line> lines_;
   std::deque<std::pair<Micros, std::uint64_t>> rests_;  // lines without a block I/O, until their rest is over
 };
 
 Head::Desk::Desk(const Provisioning& given, Surroundings& out, Micros now)
-    : out_(out),
+    : given_(given),
+      out_(out),
       now_(now),
       chance_(static_cast<std::uint32_t>(given.seed ^ (given.seed >> 32))),
       heads_(std::max(1, given.heads)),
-      own_number_(given.own_number),
       most_submits_(std::min(given.most_submits, kPlaces)),
-      use_told_(given.meter_period > 0),
-      may_probe_(given.may_probe),
-      takes_advice_(given.takes_advice),
-      others_told_(given.tells_elsewhere),
-      list_asked_(given.list_asked),
-      sizes_told_(given.sizes_told),
-      longest_advice_(given.longest_advice),
-      ask_every_(given.ask_every),
       overload_for_(given.overload_for),
       warm_within_(given.warm_within),
       turn_rest_(std::max<Micros>(0, given.turn_rest)),
-      budget_span_(given.budget_span),
-      threshold_(kThreshold * given.usual_units),
       most_units_(given.most_units),
-      usual_units_(given.usual_units),
-      share_gain_(given.share_gain),
-      beyond_gain_(given.beyond_gain),
-      cold_bears_(given.cold_bears),
       cold_from_(std::max(given.cold_from, 0.01)),
-      fall_multiple_(given.fall_multiple),
       budget_spare_(std::max(0.0, given.budget_spare)),
       budget_share_(std::max(0.0, given.budget_share)) {
   for (const IoGroup& g : given.groups) {
@@ -586,25 +583,28 @@
     const double goal = static_cast<double>(g.latency_goal);
     tightest_goal_ = tightest_goal_ == 0 ? goal : std::min(tightest_goal_, goal);
   }
-  double nominal = 0, weights = 0;
-  for (const Plan& p : given.plans) nominal += p.nominal, weights += p.weight;
-  for (const Plan& p : given.plans)
-    due_.push_back(
-        {p.reserve, kShareRoom * nominal * p.weight / weights, p.limit, p.burst, p.gain_factor, p.nominal});
+  planned(given.plans);
   full_for_.resize(static_cast<std::size_t>(std::clamp(most_units_, 1.0, 1024.0)) + 2);
-  if (list_asked_) ask_list();
+  if (given_.list_asked) ask_list();
   out_.wake(0, kTick);
 }
 
+void Head::Desk::planned(std::span<const Plan> plans) {
+  double nominal = 0, weights = 0;
+  for (const Plan& p : plans) nominal += p.nominal, weights += p.weight;
+  due_.clear();
+  for (const Plan& p : plans) due_.push_back({p, kShareRoom * nominal * p.weight / weights});
+}
+
 // Watching costs a line a change; asking anew when all has been still covers a watch that broke unnoticed.
 void Head::Desk::ask_list() {
   out_.watch_list();
-  ask_at_ = now_ + ask_every_ * 3 / 4 + static_cast<Micros>(chance_() % 500'000);
+  ask_at_ = now_ + given_.ask_every * 3 / 4 + static_cast<Micros>(chance_() % 500'000);
 }
 
 void Head::Desk::listed(ListKind kind, std::span<const NodeEntry> entries) {
   if (kind == ListKind::failed) {
-    ask_at_ = std::min(ask_at_, now_ + ask_every_ / 20 + static_cast<Micros>(chance_() % 300'000));
+    ask_at_ = std::min(ask_at_, now_ + given_.ask_every / 20 + static_cast<Micros>(chance_() % 300'000));
     return;
   }
   if (kind != ListKind::delta)
@@ -624,7 +624,7 @@
     n.listed = e.state != NodeState::gone;
     n.shard = e.shard;
     n.zone = e.zone;
-    n.size = sizes_told_ && e.share > 0 ? e.share : 1;
+    n.size = given_.sizes_told && e.share > 0 ? e.share : 1;
   }
   by_name_.clear();
   double sizes = 0;
@@ -662,10 +662,7 @@
   if (io.volume >= static_cast<int>(volumes_.size())) volumes_.resize(io.volume + 1);
   draw(b, late);
   further_ = std::min(kFurtherMost, further_ + kFurtherShare * luck_);
-  if (budget_span_ >= 0) {
-    takes_.push_back(now_);
-    while (takes_.front() < now_ - budget_span_) takes_.pop_front();
-  }
+  if (given_.budget_span >= 0) takes_.add(now_, now_ - given_.budget_span);
   if (g.keeps_order && io.object != 0) {
     Line& line = lines_[io.object];
     link_last(bios_, line, at);
@@ -717,7 +714,7 @@
     if (a.result == Result::ended) v.here += b.io.units;
     v.elsewhere += a.from_others;
     // Where only the use over all heads is told, what is not this head's own is the others'.
-    if (use_told_ && !others_told_ && a.volume_use > 0) {
+    if (given_.meter_period > 0 && !given_.tells_elsewhere && a.volume_use > 0) {
       const double all = (a.volume_use - 1) / 100.0 * due_[b.io.plan].nominal * kUseMemory / 1e6;
       v.elsewhere = std::max(0.0, all - v.here);
     }
@@ -771,7 +768,7 @@
       }
       if (fits && in_time(b, n, n.ahead + b.io.units)) continue;  // before the gate
     }
-    if (node < 0 && b.io.shard < 0 && !by_name_.empty()) node = home_of(b.io.object);
+    if (node < 0 && b.io.shard < 0 && !by_name_.empty()) node = home_of(b.io.object, b.io.plan);
     if (node < 0) continue;
     Node& n = nodes_[node];
     if (b.io.shard >= 0) n.blocked = true;
@@ -820,7 +817,7 @@
 
 void Head::Desk::tick() {
   out_.wake(0, kTick);
-  if (list_asked_ && now_ >= ask_at_) ask_list();
+  if (given_.list_asked && now_ >= ask_at_) ask_list();
   std::erase_if(lingers_, [&](const Linger& l) {
     if (l.until <= now_) log_drop(nodes_[l.node], l.units);
     return l.until <= now_;
@@ -859,7 +856,7 @@
   // Guards against nodes that take work and answer none, whether hung, vanished or cut off.
   for (Node& n : nodes_) {
     if (silence(n) > patience(n)) n.mute = true;
-    if (n.listed && n.state != NodeState::gone && may_probe_ && trial_due(n))
+    if (n.listed && n.state != NodeState::gone && given_.may_probe && trial_due(n))
       out_.probe(static_cast<int>(&n - &nodes_[0]));
   }
 }
@@ -874,11 +871,14 @@
   desk_->now_ = now;
 }
 void Head::listed(ListKind kind, std::span<const NodeEntry> entries) { desk_->listed(kind, entries); }
+void Head::planned(std::span<const Plan> plans) { desk_->planned(plans); }
 void Head::take(const BlockIo& bio) { desk_->take(bio); }
 void Head::answered(const Answer& answer) { desk_->answered(answer); }
 void Head::woke(std::uint64_t) { desk_->tick(); }
 void Head::settle() { desk_->settle(); }
-int Head::home(std::uint64_t object) const { return desk_->by_name_.empty() ? -1 : desk_->home_of(object); }
+int Head::home(std::uint64_t object, int plan) const {
+  return desk_->by_name_.empty() ? -1 : desk_->home_of(object, plan);
+}
 bool Head::forget_node(int node) { return desk_->forget_node(node); }
 bool Head::forget_volume(int volume) { return desk_->forget_volume(volume); }
 
--- a/src/rules/rules.h
+++ b/src/rules/rules.h
@@ -36,6 +36,7 @@
 struct Plan {
   double limit, burst, slack;  // units a second, units, units; limit 0: none
   double nominal, reserve, weight, gain_factor;
+  std::vector<int> nodes = {};  // where new objects go while one of them can take them; empty: anywhere
 };
 
 // What a head is handed when it starts. Absent budgets and rests are negative.
@@ -109,6 +110,8 @@
   ~Head();
   void at(Micros now);  // the clock, before the calls of that moment
   void listed(ListKind kind, std::span<const NodeEntry> entries);
+  // Other plans while it serves. A plan's index keeps its meaning; there are never fewer of them.
+  void planned(std::span<const Plan> plans);
   void take(const BlockIo& bio);
   void stream_started(std::uint64_t id, int submit);
   void answered(const Answer& answer);
@@ -119,7 +122,8 @@
   // been sent to, a volume long unused. What was learned of it is dropped.
   bool forget_node(int node);
   bool forget_volume(int volume);
-  int home(std::uint64_t object) const;  // a new object's default node under the present list; -1: none
+  // A new object's default node under the present list and plan; -1: none.
+  int home(std::uint64_t object, int plan) const;
   struct Footprint {
     std::size_t in_hand, held, nodes, volumes, lines, marks;
   };
--- a/src/rules/slab.h
+++ b/src/rules/slab.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <string_view>
 #include <vector>
 
@@ -194,6 +195,23 @@
   std::size_t used_ = 0;
 };
 
+// Moments in the order they came, until they are too old.
+class RecentMoments {
+ public:
+  void add(std::int64_t now, std::int64_t oldest) {
+    all_.push_back(now);
+    since(oldest);
+  }
+  double since(std::int64_t oldest) {
+    while (!all_.empty() && all_.front() < oldest) all_.pop_front();
+    return static_cast<double>(all_.size());
+  }
+  std::size_t size() const { return all_.size(); }
+
+ private:
+  std::deque<std::int64_t> all_;
+};
+
 // Sum over a sliding window in coarse slots; it never tells less than what truly lies in the window.
 class SlidingSum {
  public:
--- a/src/settings/head.cpp
+++ b/src/settings/head.cpp
@@ -138,6 +138,10 @@
   h.listen = service(top["listen"]);
   h.list = service(top["list"]);
   h.list_file = top["list"].text("file");
+  if (top.has("plan")) {
+    h.plan_file = top["plan"].text("file"), h.plan_held = top["plan"].text("held");
+    if (h.plan_file == h.plan_held) top["plan"]["held"].bad("the same as file");
+  }
   const Place catalogue = top["catalogue"];
   h.catalogue = service(catalogue);
   h.catalogue_keep = catalogue.ms("keep_ms", 1000);
@@ -217,7 +221,7 @@
     h.choices.push_back(choice);
   }
   for (const char* key : {"name", "heads", "own_number", "seed", "listen", "list", "catalogue", "carrier",
-                          "unit_bytes", "groups", "plans", "nodes", "allowed", "rules"})
+                          "plan", "unit_bytes", "groups", "plans", "nodes", "allowed", "rules"})
     if (top.has(key)) h.fixed[key] = given[key];
   return h;
 }
--- a/src/settings/head.h
+++ b/src/settings/head.h
@@ -32,6 +32,7 @@
   std::string name, log_level;
   Service listen, list, catalogue;
   std::string list_file;
+  std::string plan_file, plan_held;  // a plan to take; where the one that holds is kept. Empty: none
   Micros catalogue_keep, catalogue_allow;
   std::size_t catalogue_keep_most;
   int connections, streams;
--- a/src/solver/solve.cpp
+++ b/src/solver/solve.cpp
@@ -15,7 +15,7 @@
 constexpr int kGroupTree = 300;             // search tree nodes
 constexpr int kTargets = 10, kSample = 16;  // tried of each by a small move
 constexpr int kStalls = 40;                 // exact steps without gain, until a level is left alone
-constexpr int kPasses = 12;                 // over all volumes, when all that's left is to polish
+constexpr int kPasses = 40, kSteps = 8;     // over all volumes, when all that's left is to polish
 
 std::vector<int> all_nodes(const Problem& p) {
   std::vector<int> all(p.nodes.size());
@@ -404,59 +404,56 @@
     std::vector<int> order(p_.volumes.size());
     std::iota(order.begin(), order.end(), 0);
     for (int pass = 0, idle = 0; pass < kPasses && idle < 2; ++pass) {
-      long gained = 0;
+      const Figures before = figures();
       std::shuffle(order.begin(), order.end(), chance_);
       for (int v : order) {
         if (over_time()) return;
-        gained += put_back(v, better) + cheaper(v, better);
+        put_back(v, better);
+        cheaper(v, better);
       }
-      if (!p_.volumes.empty())
-        for (int i = 0; i < 8 && !over_time(); ++i)
-          gained += exact_step(any(p_.nodes.size()), pass % 2 == 0 ? Aim::cost : Aim::moved);
-      idle = gained == 0 ? idle + 1 : 0;
+      for (int i = 0; i < kSteps && !over_time(); ++i)
+        exact_step(any(p_.nodes.size()), pass % 2 == 0 ? Aim::cost : Aim::moved);
+      // Ranks go on getting better for long; they only tell equals apart.
+      const bool gain = moved_ < before.moved || before.cost - cost_ > before.cost / 1000;
+      idle = gain ? 0 : idle + 1;
     }
   }
 
   template <class Better>
-  int put_back(int v, Better better) {
-    int gained = 0;
-    for (int home : p_.volumes[v].present) {
+  void put_back(int v, Better better) {
+    const auto& present = p_.volumes[v].present;
+    const auto anew = [&](int w, int n) {
+      const auto& homes = p_.volumes[w].present;
+      return !std::binary_search(homes.begin(), homes.end(), n);
+    };
+    for (int home : present) {
       if (now_[v].has(home)) continue;
+      bool done = false;
       const Nodes there = now_[v];
       for (int n : there) {
-        if (std::binary_search(p_.volumes[v].present.begin(), p_.volumes[v].present.end(), n)) continue;
-        if (attempt({v, with(v, n, home)}, {}, better)) {
-          ++gained;
-          break;
-        }
+        if (!anew(v, n)) continue;
+        if ((done = attempt({v, with(v, n, home)}, {}, better))) break;
         // Someone who came to it anew may take the place that is left.
-        bool done = false;
         const std::vector<int> others = on_[home];
         for (int w : others) {
-          const auto& present = p_.volumes[w].present;
-          if (w == v || now_[w].has(n) || std::binary_search(present.begin(), present.end(), home)) continue;
+          if (w == v || now_[w].has(n) || !anew(w, home)) continue;
           if ((done = attempt({v, with(v, n, home)}, {w, with(w, home, n)}, better))) break;
         }
-        gained += done;
         if (done) break;
       }
     }
-    return gained;
   }
 
   template <class Better>
-  int cheaper(int v, Better better) {
-    int gained = 0;
+  void cheaper(int v, Better better) {
     const Nodes there = now_[v];
-    for (int n : there) {
-      const int count = static_cast<int>(p_.nodes.size());
+    const int count = static_cast<int>(p_.nodes.size());
+    for (int n : there)
       for (int i = 0; i < std::min(kTargets, count); ++i) {
         const int to = count <= kTargets ? i : any(p_.nodes.size());
         if (now_[v].has(to) || !now_[v].has(n) || p_.nodes[to].cost > p_.nodes[n].cost) continue;
-        gained += attempt({v, with(v, n, to)}, {}, better);
+        attempt({v, with(v, n, to)}, {}, better);
       }
-    }
-    return gained;
   }
 
   const Problem& p_;
@@ -547,7 +544,7 @@
   a.met = step >= 0;
   a.placement = std::move(placement);
   a.level_bound = bound_allows(p, 0).allows ? bound_level(p, grid.front()) : 0;
-  a.cost_bound = bound_cost(p);
+  a.cost_bound = bound_cost(p, step >= 0 ? grid[step] : 0);
   a.moved_floor = moved_floor(p);
   a.figures = figures(p, a.placement, std::max(step, 0));
   if (a.met) {
