--- a/judge/judge.cpp
+++ b/judge/judge.cpp
@@ -18,6 +18,8 @@
 // What a loaded machine adds between a frame's leaving one process and its record in another.
 constexpr Time kJitter = 100'000;
 constexpr Time kAnswerSlack = 250'000;
+constexpr Time kPlanSettles = 1'500'000;  // from a plan's telling until it is held to it
+constexpr Time kGainWithin = 1'000'000;   // an answer earns its gain within this, for comparing days only
 constexpr int kExtentBits = 12;
 
 struct Try {
@@ -66,8 +68,9 @@
                            "order per key",
                            "budget of further submits",
                            "plan limits",
-                           "nothing acknowledged is lost"};
-    for (int i = 0; i < 8; ++i) verdict_.rules.push_back({.number = i + 1, .name = names[i], .first = {}});
+                           "nothing acknowledged is lost",
+                           "reserves served under the last plan"};
+    for (int i = 0; i < 9; ++i) verdict_.rules.push_back({.number = i + 1, .name = names[i], .first = {}});
     const json& provision = day_.at("provision");
     for (const json& g : provision.at("groups"))
       groups_[g.at("name")] = {g.at("repeat"),
@@ -90,6 +93,7 @@
     rule_budget();
     rule_limits();
     rule_kept_data();
+    rule_reserves();
     figures();
     return std::move(verdict_);
   }
@@ -194,6 +198,9 @@
             if (key.first == n)
               for (std::size_t i : list)
                 if (subs_[i].cut < 0) subs_[i].cut = t;
+      } else if (ev == "planned") {
+        planned_ = e;
+        planned_at_ = t;
       } else if (ev == "stands") {
         stands_[e.at("volume").get<string>() + '/' + e.at("object").get<string>()] = t;
       }
@@ -490,7 +497,63 @@
     }
   }
 
+  // Once a plan has had time to settle, a volume has its reserve or nearly all that it asks for. Half a
+  // reserve, not the whole: this is no measurement of speed.
+  void rule_reserves() {
+    if (planned_at_ < 0) return;
+    const Time from = std::max(planned_at_, begin_) + kPlanSettles;
+    const Time to = begin_ + ms(day_, "length_ms", 0) - kPlanSettles / 2;
+    const double seconds = static_cast<double>(to - from) / 1e6;
+    if (seconds < 1) return;
+    std::map<string, double> units;
+    std::map<string, std::pair<long, long>> tries, places;
+    std::map<string, std::set<string>> nodes;
+    for (const json& v : planned_.at("volumes")) nodes[v.at("name")] = v.at("nodes").get<std::set<string>>();
+    for (const Sub& s : subs_) {
+      if (s.t < from || s.t > to) continue;
+      if (s.outcome == "ended") units[s.volume] += s.units;
+      if (s.kind == "write" && s.no == 0 && nodes.count(s.volume))
+        ++(nodes[s.volume].count(s.node) ? places[s.volume].first : places[s.volume].second);
+    }
+    for (const Try& x : tries_) {
+      if (x.sent < from || x.sent > to) continue;
+      ++tries[x.volume].first;
+      tries[x.volume].second += x.answer == "ended" || x.status == 404 || x.status == 412;
+    }
+    long there = 0, elsewhere = 0;
+    for (const json& v : planned_.at("volumes")) {
+      const string volume = v.at("name");
+      const double reserve = v.value("reserve", 0.0), had = units[volume] / seconds;
+      const auto [asked, ended] = tries[volume];
+      there += places[volume].first, elsewhere += places[volume].second;
+      verdict_.figures["by_volume"][volume] = {
+          {"reserve", reserve}, {"units_a_second", had}, {"asked", asked}, {"ended", ended}};
+      if (reserve <= 0 || asked < 10) continue;
+      saw(9);
+      if (had < 0.5 * reserve && static_cast<double>(ended) < 0.8 * static_cast<double>(asked))
+        breach(9, from,
+               volume + " had " + std::to_string(had) + " units a second of a reserve of " +
+                   std::to_string(reserve) + ", " + std::to_string(ended) + " of " + std::to_string(asked) +
+                   " ended");
+    }
+    verdict_.figures["new_objects"] = {{"where_planned", there}, {"elsewhere", elsewhere}};
+  }
+
   void figures() {
+    std::map<string, std::pair<double, double>> by_plan;  // gained, and what could have been
+    std::map<string, string> plan_of;
+    std::map<string, double> factor;
+    for (const json& p : day_.at("provision").value("plans", json::array()))
+      factor[p.at("name")] = p.value("gain_factor", 1.0);
+    for (const json& v : day_.value("volumes", json::array())) plan_of[v.at("name")] = v.value("plan", "");
+    for (const Try& x : tries_) {
+      auto& [gained, most] = by_plan[plan_of[x.volume]];
+      const double worth = factor.count(plan_of[x.volume]) ? factor[plan_of[x.volume]] : 1;
+      most += worth;
+      if (x.ev == "answer" && x.answer == "ended" && x.out - x.sent <= kGainWithin) gained += worth;
+    }
+    for (const auto& [plan, gain] : by_plan)
+      if (gain.second > 0) verdict_.figures["gain_part_by_plan"][plan] = gain.first / gain.second;
     std::map<string, std::map<string, long>> counts;
     std::map<string, std::vector<double>> lags;
     for (const Try& x : tries_) {
@@ -542,6 +605,8 @@
   std::map<string, std::vector<Span>> lives_, stops_, node_stops_;
   std::map<string, std::vector<Time>> kills_;
   std::map<string, Time> stands_;
+  json planned_;
+  Time planned_at_ = -1;
 };
 
 }  // namespace
@@ -578,6 +643,8 @@
   if (figures.contains("by_method"))
     for (const auto& [method, f] : figures["by_method"].items())
       out << "   " << method << ' ' << f.dump() << '\n';
+  for (const char* key : {"by_volume", "gain_part_by_plan", "new_objects"})
+    if (figures.contains(key)) out << "   " << key << ' ' << figures[key].dump() << '\n';
   if (figures.contains("by_group"))
     for (const auto& [group, f] : figures["by_group"].items())
       out << "   " << group << ' ' << f.dump() << '\n';
--- a/src/days/runner.cpp
+++ b/src/days/runner.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <deque>
 #include <filesystem>
+#include <fstream>
 #include <map>
 #include <memory>
 #include <thread>
@@ -30,6 +31,7 @@
   std::string name;
   json settings;
   int port = 0, control = 0, starts = 0;
+  bool listed = false;  // as ready
   std::uint64_t start = 0;
   std::int64_t started = 0;  // 0: before the day
 };
@@ -73,6 +75,7 @@
     }
     for (auto& [name, node] : nodes_)
       if (!node->settings.value("later", false)) start_node(*node, false), tell_list(*node, "ready", true);
+    if (day_.contains("planning")) plan();
     for (int h = 0; h < day_.at("heads").get<int>(); ++h) {
       auto head = std::make_unique<HeadRun>();
       head->name = "head-" + std::to_string(h);
@@ -152,11 +155,15 @@
       return settings::parse(text, path);
     };
     json day = read(file);
-    if (day.is_object() && day.contains("like") && day["like"].is_string()) {
-      json like = read((fs::path(file).parent_path() / day["like"].get<std::string>()).string());
+    fs::path folder = fs::path(file).parent_path();
+    for (int depth = 0; day.is_object() && day.contains("like") && day["like"].is_string(); ++depth) {
+      if (depth == 8) throw settings::Bad(file + ": /like: days that are like one another in a circle");
+      const fs::path path = folder / day["like"].get<std::string>();
+      json like = read(path.string());
       day.erase("like");
       like.merge_patch(day);
       day = std::move(like);
+      folder = path.parent_path();
     }
     return settings::check(day.dump(), file, "day");
   }
@@ -173,6 +180,9 @@
       if (s.contains("head") && s["head"].get<int>() >= day_.at("heads").get<int>())
         throw settings::Bad("the script names an unknown head " + s["head"].dump());
     }
+    for (const json& s : day_.value("script", json::array()))
+      if ((s.at("do") == "replan" || s.at("do") == "plan_text") && !day_.contains("planning"))
+        throw settings::Bad("the script tells of plans in a day without planning");
     for (const json& v : day_.at("volumes"))
       for (const json& h : v.at("heads"))
         if (h.get<int>() >= day_.at("heads").get<int>())
@@ -209,7 +219,7 @@
     ++node.starts;
   }
 
-  void tell_list(const NodeRun& node, const char* state, bool at_once = false) {
+  void tell_list(NodeRun& node, const char* state, bool at_once = false) {
     json entry = {{"name", node.name},
                   {"port", node.port},
                   {"shard", node.settings.at("shard")},
@@ -220,6 +230,7 @@
                   {"state", state},
                   {"at_once", at_once}};
     command(list_control_, {{"set", json::array({entry})}});
+    node.listed = std::string_view(state) == "ready";
   }
 
   json head_settings(int h) const {
@@ -232,6 +243,9 @@
     s["list"] = {{"address", "127.0.0.1"},
                  {"port", list_port_},
                  {"file", folder_ + "/run/list.head-" + std::to_string(h) + ".json"}};
+    if (day_.contains("planning"))
+      s["plan"] = {{"file", plan_file()},
+                   {"held", folder_ + "/run/plan.head-" + std::to_string(h) + ".json"}};
     if (day_.contains("ask_every_ms")) s["list"]["ask_every_ms"] = day_["ask_every_ms"];
     json catalogue = s.value("catalogue", json::object());
     catalogue["address"] = "127.0.0.1", catalogue["port"] = catalogue_port_;
@@ -243,6 +257,66 @@
     return s;
   }
 
+  std::string plan_file() const { return folder_ + "/run/plan.json"; }
+
+  // A plan for the nodes that are there, worked out by the tool as operators do. The first stands before the
+  // heads start; each later one goes on from the one before.
+  void plan() {
+    const json& given = day_.at("planning");
+    const std::string problem = folder_ + "/run/problem.json", members = folder_ + "/run/members.json";
+    json p = {{"zones", json::array()}, {"nodes", json::array()}, {"volumes", given.at("volumes")}}, there;
+    p["keep"] = given.value("keep", "none");
+    std::map<std::string, bool> zones;
+    for (const auto& [name, node] : nodes_) {
+      const std::string zone = node->settings.value("zone", "zone");
+      if (zones.emplace(zone, true).second) p["zones"].push_back(zone);
+      const json one = {{"name", name}, {"zone", zone}, {"capacity", given.at("capacity")}};
+      p["nodes"].push_back(one);
+      if (node->listed) there["nodes"].push_back(one);
+    }
+    for (const auto& [file, what] : {std::pair{problem, p}, {members, there}})
+      if (const std::string why = write_file(file, what.dump(1)); !why.empty()) throw std::runtime_error(why);
+    // Each in a file of its own: what heads are given may be overwritten by anyone.
+    const auto numbered = [&](int n) { return folder_ + "/run/plan-" + std::to_string(n) + ".json"; };
+    std::vector<std::string> command{bin("yewmount"), "plan",    "solve", problem, "--members",
+                                     members,         "--limit", "5",     "--out", numbered(++plans_)};
+    if (plans_ > 1) command.insert(command.end(), {"--from", numbered(plans_ - 1)});
+    Process solver;
+    solver.start(command, folder_ + "/log/plan");
+    int code = -1;
+    if (!solver.ended(20'000'000, code) || code != 0)
+      throw std::runtime_error("no plan was worked out (code " + std::to_string(code) +
+                               "); log/plan tells why");
+    std::string text;
+    if (const std::string why = read_file(numbered(plans_), text); !why.empty())
+      throw std::runtime_error(why);
+    plan_ = json::parse(text);
+    if (given.value("equal", false)) {
+      // To compare with: no reserves, the same weight for all, new objects anywhere.
+      plan_.erase("figures"), plan_.erase("nodes");
+      json everywhere = json::array();
+      for (const json& n : there["nodes"]) everywhere.push_back(n.at("name"));
+      for (json& v : plan_["volumes"])
+        v = {{"name", v["name"]}, {"nodes", everywhere}, {"reserve", 0}, {"weight", 1}};
+    }
+    if (const std::string why = write_file(plan_file(), plan_.dump(1)); !why.empty())
+      throw std::runtime_error(why);
+    tell_heads();
+    json due = json::array();
+    for (const json& v : given.at("volumes")) {
+      json nodes;
+      for (const json& planned : plan_.at("volumes"))
+        if (planned.at("name") == v.at("name")) nodes = planned.at("nodes");
+      due.push_back({{"name", v.at("name")}, {"reserve", v.value("reserve", 0.0)}, {"nodes", nodes}});
+    }
+    say({{"ev", "planned"}, {"number", plan_.at("number")}, {"volumes", due}});
+  }
+
+  void tell_heads() {
+    for (auto& head : heads_)
+      if (head->process.pid() >= 0 && !dead_heads_.count(head->name)) head->process.signal(SIGHUP);
+  }
+
   void start_head(HeadRun& head) {
     head.file = folder_ + "/run/" + head.name + ".json";
     if (const std::string why = write_file(head.file, head.settings.dump(1)); !why.empty())
@@ -344,6 +418,13 @@
     } else if (what == "list") {
       command(list_control_, step.at("command"));
       if (for_ms > 0) then({{"do", "list"}, {"command", step.at("undo")}}, for_ms);
+    } else if (what == "replan") {
+      plan();
+    } else if (what == "plan_text") {
+      // Not written whole, as by a careless hand.
+      std::ofstream(plan_file()) << step.at("text").get<std::string>();
+      tell_heads();
+      say({{"ev", "plan_text"}});
     } else if (what == "kill_catalogue") {
       catalogue_.kill();
       say({{"ev", "catalogue_killed"}});
@@ -361,6 +442,8 @@
   std::string folder_, binaries_, head_program_;
   std::unique_ptr<standins::Record> record_;
   Process list_, catalogue_;
+  json plan_;  // the last one worked out
+  int plans_ = 0;
   int list_port_ = 0, catalogue_port_ = 0;
   std::uint16_t list_control_ = 0;
   std::map<std::string, std::unique_ptr<NodeRun>> nodes_;
--- a/tests/head/head_test.cpp
+++ b/tests/head/head_test.cpp
@@ -84,7 +84,16 @@
   std::unique_ptr<head::Daemon> daemon;
   std::uint16_t port = 0;
 
+  bool with_plan = false;
+  int at_node[2] = {0, 0};  // writes
+
   json settings_json() {
+    json all = plain_settings();
+    if (with_plan) all["plan"] = {{"file", folder + "/plan.json"}, {"held", folder + "/plan.held.json"}};
+    return all;
+  }
+
+  json plain_settings() {
     return {
         {"name", "head-t"},
         {"heads", 1},
@@ -118,7 +127,10 @@
     for (int n = 0; n < 2; ++n) {
       nodes.push_back(std::make_unique<Peer>(side));
       nodes[n]->on_connect = [n](Peer::Conn& c) { c.hello("n" + std::to_string(n)); };
-      nodes[n]->on_submit = [this](Peer::Conn& c, const wire::Submit& s) { take(c, s); };
+      nodes[n]->on_submit = [this, n](Peer::Conn& c, const wire::Submit& s) {
+        at_node[n] += s.kind == wire::Kind::write;
+        take(c, s);
+      };
       list["nodes"].push_back({{"name", "n" + std::to_string(n)},
                                {"address", "127.0.0.1"},
                                {"zone", "z"},
@@ -344,5 +356,104 @@
   EXPECT_EQ(status(http.put("/w/a", "x")), 201);
 }
 
+// Plans as fast as they come while clients write and read: each whole or not at all, every ask answered.
+TEST_F(Running, FiftyPlansInARowUnderLoadOneOfThemBroken) {
+  with_plan = true;
+  start();
+  std::atomic<bool> over{false};
+  std::atomic<int> asked{0}, ended{0};
+  std::vector<std::thread> clients;
+  for (int c = 0; c < 4; ++c)
+    clients.emplace_back([&, c] {
+      Http http(port);
+      for (int i = 0; !over; ++i) {
+        const std::string path = "/v/" + std::to_string(c) + '-' + std::to_string(i % 20);
+        const int code = status(i % 2 == 0 ? http.put(path, std::string(3000, 'd')) : http.get(path));
+        ++asked;
+        ended += code >= 200 && code < 300;
+        if (code != 503) {
+          EXPECT_TRUE((code >= 200 && code < 300) || code == 404) << code;
+        }
+      }
+    });
+  const auto offer = [&](const std::string& text) {
+    EXPECT_EQ(write_file(folder + "/plan.json", text), "");
+    std::promise<void> done;
+    asio::post(*io, [&] {
+      daemon->take_plan();
+      done.set_value();
+    });
+    done.get_future().get();
+  };
+  const auto plan = [](int number) {
+    return json{{"number", number},
+                {"volumes",
+                 {{{"name", "v"},
+                   {"nodes", number % 3 == 0 ? json{"n0", "n1"} : json{number % 2 ? "n0" : "n1"}},
+                   {"reserve", 10 * number},
+                   {"weight", number}}}}}
+        .dump();
+  };
+  Http look(port);
+  for (int number = 1; number <= 50; ++number) {
+    std::string text = plan(number);
+    if (number == 25) text.resize(text.size() / 2);
+    offer(text);
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    const json health = json::parse(body(look.get("/.yewmount/health")));
+    EXPECT_EQ(health.at("plan"), number == 25 ? 24 : number);
+  }
+  offer(plan(49));
+  over = true;
+  for (auto& c : clients) c.join();
+  EXPECT_GT(asked, 50);
+  EXPECT_GT(ended, asked / 2);
+  EXPECT_EQ(json::parse(body(look.get("/.yewmount/health"))).at("plan"), 50) << "never an earlier one";
+  EXPECT_TRUE(has(look.get("/.yewmount/metrics"), "yewmount_plans_turned_down_total 2"));
+}
+
+TEST_F(Running, ARestartHoldsThePlanThatWasTaken) {
+  with_plan = true;
+  const auto plan = [](int number) {
+    return json{{"number", number},
+                {"volumes", {{{"name", "v"}, {"nodes", {"n1"}}, {"reserve", 5}, {"weight", 1}}}}}
+        .dump();
+  };
+  ASSERT_EQ(write_file(folder + "/plan.held.json", plan(7)), "");
+  ASSERT_EQ(write_file(folder + "/plan.json", plan(6)), "");
+  start();
+  Http http(port);
+  EXPECT_EQ(json::parse(body(http.get("/.yewmount/health"))).at("plan"), 7);
+  for (int i = 0; i < 12; ++i) {
+    EXPECT_EQ(status(http.put("/v/o" + std::to_string(i), "x")), 201);
+  }
+  EXPECT_EQ(at_node[0], 0) << "new objects go where the plan says";
+  EXPECT_EQ(at_node[1], 12);
+}
+
+TEST_F(Running, APlanForAVolumeThatIsNotServedIsTurnedDownWhole) {
+  with_plan = true;
+  const json good = {{"name", "v"}, {"nodes", {"n1"}}, {"reserve", 5}, {"weight", 1}};
+  json other = good;
+  other["name"] = "w";
+  ASSERT_EQ(write_file(folder + "/plan.json", json{{"number", 3}, {"volumes", {good, other}}}.dump()), "");
+  start();
+  Http http(port);
+  EXPECT_EQ(json::parse(body(http.get("/.yewmount/health"))).at("plan"), 0);
+  EXPECT_FALSE(std::filesystem::exists(folder + "/plan.held.json"));
+}
+
+TEST_F(Running, ADamagedHeldPlanStopsTheStartWithItsName) {
+  with_plan = true;
+  ASSERT_EQ(write_file(folder + "/plan.held.json", "{\"number\": 1"), "");
+  ASSERT_EQ(write_file(folder + "/head.json", settings_json().dump()), "");
+  try {
+    head::Daemon never(*io, settings::load_head(folder + "/head.json"));
+    FAIL() << "it started";
+  } catch (const settings::Bad& e) {
+    EXPECT_TRUE(has(e.what(), "plan.held.json: not JSON")) << e.what();
+  }
+}
+
 }  // namespace
 }  // namespace yewmount::tests
--- a/tests/judge/judge_test.cpp
+++ b/tests/judge/judge_test.cpp
@@ -315,5 +315,30 @@
   EXPECT_EQ(get(404, true), Rules{});
 }
 
+TEST(Judge, Rule9AReserveUnderTheLastPlan) {
+  const auto with = [](int ended, int asked) {
+    Recording r;
+    r.add(50 * ms, {{"ev", "planned"},
+                    {"number", 2},
+                    {"volumes", {{{"name", "v"}, {"reserve", 10}, {"nodes", {"n"}}}}}});
+    for (int i = 0; i < asked; ++i) {
+      const long t = (2000 + 200 * i) * ms;
+      r.sent(t, i, "PUT", 2000 * ms, ("o" + std::to_string(i)).c_str());
+      if (i < ended)
+        r.submit(t + ms, 100 + i, 0, "write", "side-effecting")
+            .outcome(t + 2 * ms, 100 + i, 0, "ended")
+            .came(t + 3 * ms, i, "ended", 201, 100 + i);
+      else
+        r.came(t + 3 * ms, i, "shed", 503);
+    }
+    json d = day();
+    d["length_ms"] = 6000;
+    return r.broken(d);
+  };
+  EXPECT_EQ(with(15, 15), Rules{}) << "less than its reserve, but all that it asked for";
+  EXPECT_EQ(with(3, 15), Rules{9});
+  EXPECT_EQ(with(1, 5), Rules{}) << "it hardly asked";
+}
+
 }  // namespace
 }  // namespace yewmount::tests
--- a/tests/rules/bench_free.h
+++ b/tests/rules/bench_free.h
@@ -95,6 +95,10 @@
         stopped.try_emplace(i, now);
     head.listed(kind, entries);
   }
+  void planned(const std::vector<Plan>& plans) {
+    given.plans = plans;
+    head.planned(plans);
+  }
   void take(BlockIo io) {
     taken[io.id].io = io;
     if (given.groups[io.group].keeps_order && io.object) lines[io.object].push_back(io.id);
--- a/tests/rules/random_days_test.cpp
+++ b/tests/rules/random_days_test.cpp
@@ -27,6 +27,7 @@
     }
     if (any(2)) p.budget_span = 2 * second, p.budget_spare = 1, p.budget_share = 0.1;
     if (any(2)) p.plans[0].limit = 8, p.plans[0].burst = 12.0 * p.heads, p.plans[0].slack = 1;
+    if (any(2)) p.plans.insert(p.plans.end(), {p.plans[0], p.plans[1]});  // planned anew as it goes
     return p;
   }
 
@@ -68,6 +69,13 @@
         for (auto& h : heads) h->at(now), h->listed({e});
       }
       if (any(300) == 0) start(any(p.heads), now);
+      if (p.plans.size() > 2 && any(40) == 0) {
+        Plan& plan = p.plans[static_cast<std::size_t>(2 + any(2))];
+        plan.reserve = any(20), plan.weight = 1 + any(3);
+        plan.nodes.clear();
+        for (int n = any(4); n > 0; --n) plan.nodes.push_back(any(8));  // some that nobody has heard of
+        for (auto& h : heads) h->at(now), h->planned(p.plans);
+      }
       for (auto& h : heads) {
         h->at(now);
         if (any(80) == 0) h->head.listed(ListKind::failed, {});
@@ -76,7 +84,7 @@
                    .object = std::uint64_t(any(5)),
                    .give_up_at = now + (100 + any(2000)) * ms,
                    .group = any(3),
-                   .plan = any(2),
+                   .plan = any(static_cast<int>(p.plans.size())),
                    .volume = any(4),
                    .shard = any(3) ? any(6) : -1,
                    .units = 1 + any(6),
--- a/tests/rules/rules_test.cpp
+++ b/tests/rules/rules_test.cpp
@@ -1,4 +1,7 @@
 // Plain cases, and one small test for each failure found.
+#include <algorithm>
+#include <set>
+
 #include "bench_free.h"
 
 namespace yewmount::tests {
@@ -429,5 +432,77 @@
   head->end(id, 0, Result::ended);
 }
 
+TEST_F(OneHead, NewObjectsGoAmongThePlansNodes) {
+  start(6);
+  warm_up(6);
+  given.plans[1].nodes = {1, 4, 5};
+  head->planned(given.plans);
+  std::set<int> seen;
+  for (int i = 0; i < 40; ++i) {
+    const auto id = take(-1, 1);
+    EXPECT_EQ(head->head.home(id * 7919, 1), (std::vector<int>{1, 4, 5}[id * 7919 % 3]));
+    head->settle();
+    seen.insert(head->order.back().second);
+    pass(40 * ms);
+    head->end(id, 0, Result::ended);
+    head->settle();
+  }
+  EXPECT_EQ(seen, (std::set<int>{1, 4, 5}));
+  take(-1, 1, 2, 0);  // of another plan, which names none
+  EXPECT_EQ(head->head.home(7919, 0), 7919 % 6);
+}
+
+TEST_F(OneHead, WhileNoneOfThePlansNodesCanTakeItTheOthersDo) {
+  start(6);
+  warm_up(6);
+  given.plans[1].nodes = {1, 4};
+  head->planned(given.plans);
+  head->listed({entry(1, NodeState::gone), entry(4, NodeState::draining)});
+  for (int i = 0; i < 10; ++i) {
+    const auto id = take(-1, 1);
+    head->settle();
+    ASSERT_EQ(head->taken[id].sent.size(), 1u);
+    EXPECT_TRUE(head->order.back().second != 1 && head->order.back().second != 4);
+  }
+  // One is back: it is warm, so it has them again.
+  head->listed({entry(4)});
+  pass(40 * ms);
+  const auto id = take(-1, 1);
+  head->settle();
+  EXPECT_EQ(head->taken[id].sent.at(0).node, 4);
+}
+
+TEST_F(OneHead, APlanThatNamesOnlyNodesNeverHeardOfIsAsGoodAsNone) {
+  start(3);
+  given.plans[1].nodes = {7};
+  head->planned(given.plans);
+  EXPECT_EQ(head->head.home(10, 1), 10 % 3);
+  const auto id = take(-1, 1);
+  head->settle();
+  EXPECT_EQ(head->taken[id].sent.size(), 1u);
+}
+
+// Who is shed under pressure follows the reserve that holds now, not the one at the start.
+TEST_F(OneHead, AReserveThatIsGivenWhileItServesCounts) {
+  const auto shed_of_plan_0 = [&](bool planned) {
+    head.reset();
+    all = {};
+    given = usual();
+    start(1);
+    warm_up(1);
+    if (planned) {
+      std::swap(given.plans[0].reserve, given.plans[1].reserve);
+      std::swap(given.plans[0].weight, given.plans[1].weight);
+      head->planned(given.plans);
+    }
+    pass(3 * second);
+    std::vector<std::uint64_t> ids;
+    for (int i = 0; i < 20; ++i) ids.push_back(take(0, 0, 2, 0, 1)), take(0, 0, 2, 1, 2);
+    pass(1);
+    return std::count_if(ids.begin(), ids.end(), [&](auto id) { return head->taken[id].shed; });
+  };
+  EXPECT_LT(shed_of_plan_0(true), shed_of_plan_0(false));
+}
+
 }  // namespace
 }  // namespace yewmount::tests
