A head that learned nothing can be in time tries one again, instead of shedding for ever

Now a head that has sent nothing for half a second lets the next one through whatever it believes, and learns in large steps from its answer.

--- a/src/rules/rules.cpp
+++ b/src/rules/rules.cpp
@@ -33,8 +33,8 @@
 constexpr double kRoomShare = 0.45, kRoomBeyond = 0.15;  // of the goal, by what is due; the reserve has all
 constexpr double kPriceMemory = 2.5e6;  // over which a node's price fades when nothing is shed there
 constexpr double kLagMemory = 0.1e6;    // over which the last answers' lag stops telling of the wait
-constexpr double kUnitPart = 0.4, kUnitStep = 0.05;  // a unit's time unhindered: this quantile of lag a unit
-constexpr Micros kTick = 5'000;                      // within the slack that a final answer has
+constexpr double kUnitPart = 0.4, kUnitStep = 0.05, kFirstStep = 0.5;  // a unit's time unhindered: a quantile
+constexpr Micros kTick = 5'000;       // within the slack that a final answer has
 constexpr double kCalm = 0.18;        // of the tightest goal: an average wait that counts as pressure
 constexpr Micros kStill = 8 * kTick;  // without a wake-up: this head stood still
 constexpr int kStrikes = 3;           // bad results in a row that shut a node
@@ -128,7 +128,7 @@
   void log_send(Node& n, double units) {
     n.load += units;
     ++n.out;
-    n.sent.add(now_, overload_for_, units);
+    n.sent.add(now_, given_.overload_for, units);
     const int m = fit_count();
     if (m < 2 || !n.listed) return;
     const double lost = n.probability * (1 - std::exp(-n.load));
@@ -180,12 +180,12 @@
     calm_ = std::exp(-pressure * pressure);
   }
 
-  bool cold(const Node& n) const { return n.up_since > 0 && now_ < n.up_since + warm_within_; }
+  bool cold(const Node& n) const { return n.up_since > 0 && now_ < n.up_since + given_.warm_within; }
 
   double warmth(const Node& n) const {
     if (!cold(n)) return 1;
-    const double age = static_cast<double>(std::max<Micros>(0, now_ - n.up_since - overload_for_));
-    return std::min(1.0, cold_from_ + (1 - cold_from_) * age / static_cast<double>(warm_within_));
+    const double age = static_cast<double>(std::max<Micros>(0, now_ - n.up_since - given_.overload_for));
+    return std::min(1.0, cold_from_ + (1 - cold_from_) * age / static_cast<double>(given_.warm_within));
   }
 
   // Heads take turns by number, several sharing one where there are more heads than turns.
@@ -193,7 +193,9 @@
 
   bool shut(const Node& n) const { return n.mute || n.strikes >= kStrikes; }
 
-  double cap(const Node& n) const { return std::max(most_units_, rate(n) * kGoalPart * tightest_goal_); }
+  double cap(const Node& n) const {
+    return std::max(given_.most_units, rate(n) * kGoalPart * tightest_goal_);
+  }
 
   bool room(Node& n, double units) {
     if (shut(n)) return false;
@@ -202,13 +204,13 @@
     // Guards a cold node against all heads together: each keeps to its part of what is surely borne, among as
     // many heads as have use for a node at one time (by how many nodes this one has). Where the part is less
     // than one request, heads take turns by number. Harms when the others have no use for it.
-    const double used = n.sent.sum(now_, overload_for_);
+    const double used = n.sent.sum(now_, given_.overload_for);
     const double part =
         given_.cold_bears * kColdMargin * warmth(n) / cold_from_ / std::max(1.0, heads_ * reach_);
     // What it served this head lately is proof of more: if all heads keep to it, all stay under the multiple.
-    const double proven = given_.fall_multiple * kColdProven * n.done.sum(now_, overload_for_);
+    const double proven = given_.fall_multiple * kColdProven * n.done.sum(now_, given_.overload_for);
     const int turns = std::clamp(static_cast<int>(std::ceil(given_.usual_units / part)), 1, heads_);
-    return used + units <= std::max(part, proven) || (used == 0 && own_turn(overload_for_, turns));
+    return used + units <= std::max(part, proven) || (used == 0 && own_turn(given_.overload_for, turns));
   }
 
   // How long an answer may take before its absence means something.
@@ -259,6 +261,10 @@
     return within(b, n, n.load + b.io.units, left);
   }
 
+  // Guards against a head that learned in a surge that nothing can be in time, and then sheds all for ever at
+  // idle nodes because nothing is answered that would teach it better. Harms by one late answer each time.
+  bool stuck() const { return now_ - sent_ >= kTrialEvery; }
+
   // Guards tight goals against loose ones: what earns little and can wait long would be served in full while
   // what earns more but has no time is shed. The last gain shed at a node is its price; what earns less is
   // shed as it comes. Covers every overload, whoever makes it; harms for a moment after a surge has gone.
@@ -281,7 +287,7 @@
 
   bool trial(Node& n, const Bio& b) {
     return (groups_[b.io.group].repeat == Repeat::idempotent || (b.submits == 0 && rarely_tried(n))) &&
-           !(cold(n) && n.sent.sum(now_, overload_for_) > 0) && trial_due(n);
+           !(cold(n) && n.sent.sum(now_, given_.overload_for) > 0) && trial_due(n);
   }
 
   int node_of_shard(int shard) const {
@@ -361,7 +367,7 @@
 
   void fill(Volume& v, const Due& due) {
     if (v.filled < 0) {
-      v.reserve = due.reserve + most_units_;
+      v.reserve = due.reserve + given_.most_units;
       v.share = due.share;
       v.filled = now_;  // the store of a limit starts empty: what was used before a start isn't known
     }
@@ -374,7 +380,7 @@
     const double part = given_.tells_elsewhere || given_.meter_period > 0
                             ? (v.here + prior) / (v.here + v.elsewhere + prior * v.heads)
                             : std::pow(v.heads, -kUntoldPart);
-    v.reserve = std::min(v.reserve + due.reserve * part * dt, due.reserve * part + most_units_);
+    v.reserve = std::min(v.reserve + due.reserve * part * dt, due.reserve * part + given_.most_units);
     v.share = std::min(v.share + due.share * part * dt, due.share * part);
     v.limit = std::min(v.limit + due.limit / v.heads * dt, due.burst / v.heads);
   }
@@ -438,7 +444,8 @@
 
   bool further_allowed() {
     if (given_.budget_span < 0) return further_ >= 1;
-    const double allowed = budget_spare_ + budget_share_ * takes_.since(now_ - given_.budget_span);
+    const double allowed =
+        given_.budget_spare + given_.budget_share * takes_.since(now_ - given_.budget_span);
     return further_ >= 1 && furthers_.since(now_ - given_.budget_span + 1) + 1 <= allowed;
   }
 
@@ -457,6 +464,8 @@
   }
 
   void send(Bio& b, int node) {
+    if (stuck()) unit_step_ = kFirstStep;
+    sent_ = now_;
     Submit& s = b.submit[b.submits++];
     s = {.node = node,
          .sent = now_,
@@ -543,12 +552,9 @@
   std::vector<Group> groups_;
   std::vector<Due> due_;
   int heads_, most_submits_;
-  Micros overload_for_, warm_within_, turn_rest_;
-  double tightest_goal_ = 0, most_units_;
-  double cold_from_, budget_spare_, budget_share_;
-  double mean_rate_ = 0, unit_time_ = 0, unit_step_ = 0.5, wait_ = 0, calm_ = 1, reach_ = 1, luck_ = 0.5,
-         further_ = 1;
-  Micros ask_at_ = 0, woken_ = 0;
+  double tightest_goal_ = 0, cold_from_, mean_rate_ = 0, unit_time_ = 0, unit_step_ = kFirstStep, wait_ = 0,
+         calm_ = 1, reach_ = 1, luck_ = 0.5, further_ = 1;
+  Micros ask_at_ = 0, woken_ = 0, sent_ = 0;
   Slab<Bio> bios_;
   std::uint64_t turn_ = 1;
   TicketIndex index_;
@@ -571,20 +577,14 @@
       chance_(static_cast<std::uint32_t>(given.seed ^ (given.seed >> 32))),
       heads_(std::max(1, given.heads)),
       most_submits_(std::min(given.most_submits, kPlaces)),
-      overload_for_(given.overload_for),
-      warm_within_(given.warm_within),
-      turn_rest_(std::max<Micros>(0, given.turn_rest)),
-      most_units_(given.most_units),
-      cold_from_(std::max(given.cold_from, 0.01)),
-      budget_spare_(std::max(0.0, given.budget_spare)),
-      budget_share_(std::max(0.0, given.budget_share)) {
+      cold_from_(std::max(given.cold_from, 0.01)) {
   for (const IoGroup& g : given.groups) {
     groups_.push_back({g, g.gain / given.usual_units});
     const double goal = static_cast<double>(g.latency_goal);
     tightest_goal_ = tightest_goal_ == 0 ? goal : std::min(tightest_goal_, goal);
   }
   planned(given.plans);
-  full_for_.resize(static_cast<std::size_t>(std::clamp(most_units_, 1.0, 1024.0)) + 2);
+  full_for_.resize(static_cast<std::size_t>(std::clamp(given_.most_units, 1.0, 1024.0)) + 2);
   if (given_.list_asked) ask_list();
   out_.wake(0, kTick);
 }
@@ -689,7 +689,7 @@
   const double counted = s.written_off ? 0 : b.io.units;
   if (a.result == Result::ended) {
     n.served += b.io.units;
-    n.done.add(now_, overload_for_, b.io.units);
+    n.done.add(now_, given_.overload_for, b.io.units);
     n.strikes = 0;
     n.mute = false;
     if (now_ != woken_) learn(n, s, static_cast<double>(a.lag), b.io.units);
@@ -721,7 +721,7 @@
   }
   if (groups_[b.io.group].keeps_order && b.io.object != 0 && s.may_have_run && !answer) {
     Line& line = lines_[b.io.object];
-    line.rest_until = std::max(line.rest_until, now_ + turn_rest_);
+    line.rest_until = std::max(line.rest_until, now_ + given_.turn_rest);
   }
   (this->*b.next)(b, a);
   let_go(at);
@@ -761,7 +761,7 @@
     if (ready && node >= 0 && !nodes_[node].blocked && !barred(b, node)) {
       Node& n = nodes_[node];
       const bool fits = room(n, b.io.units), open = gate_open(b, n);
-      if ((fits && open) || trial(n, b)) {
+      if ((fits && (open || stuck())) || trial(n, b)) {
         send(b, node);
         n.ahead = std::max(n.ahead, n.load);
         continue;
@@ -826,14 +826,14 @@
   for (Node& n : nodes_) {
     n.oldest = 0;
     if (!shut(n)) n.fine = now_;
-    used += n.sent.sum(now_, overload_for_) > 0;
+    used += n.sent.sum(now_, given_.overload_for) > 0;
     n.price *= std::exp(-static_cast<double>(kTick) / kPriceMemory);
     served += n.served;
     busy += n.busy;
   }
   if (busy > 0) mean_rate_ = served / busy;
   const double of = used / std::max<double>(1, fit_count());
-  reach_ += (std::min(1.0, of) - reach_) * kTick / (2.0 * overload_for_);
+  reach_ += (std::min(1.0, of) - reach_) * kTick / (2.0 * given_.overload_for);
   for (; !rests_.empty() && rests_.front().first <= now_; rests_.pop_front()) {
     auto line = lines_.find(rests_.front().second);
     if (line != lines_.end() && line->second.first < 0 && now_ >= line->second.rest_until) lines_.erase(line);
--- a/tests/rules/rules_test.cpp
+++ b/tests/rules/rules_test.cpp
@@ -482,6 +482,36 @@
   EXPECT_EQ(head->taken[id].sent.size(), 1u);
 }
 
+// A head that learned in a surge that nothing is in time shed everything at idle nodes until its restart:
+// nothing was sent any more that could have taught it better (day planned with equal shares: 3 % served).
+TEST_F(OneHead, WhatWasLearnedInASurgeIsUnlearnedAtIdleNodes) {
+  start(3);
+  for (int r = 0; r < 40; ++r) {  // all of them slow to answer, whatever is out
+    std::vector<std::uint64_t> ids;
+    for (int n = 0; n < 3; ++n) ids.push_back(take(n, 0, 1, 0));
+    head->settle();
+    head->at(head->now + 1500 * ms);
+    for (auto id : ids)
+      if (!head->taken[id].sent.empty() && head->taken[id].sent[0].out) head->end(id, 0, Result::ended);
+    head->settle();
+  }
+  int ended = 0, last_second = 0;
+  for (int t = 0; t < 600; ++t) {  // now each takes 20 ms, and there is little to do
+    if (t % 5 == 0) take(t / 5 % 3, 0, 2, 0);
+    head->settle();
+    pass(20 * ms);
+    for (auto& [id, taken] : head->taken)
+      if (!taken.sent.empty() && taken.sent[0].out) {
+        head->end(id, 0, Result::ended);
+        ++ended;
+        last_second += t >= 550;
+      }
+    head->settle();
+  }
+  EXPECT_GT(ended, 40);
+  EXPECT_GE(last_second, 7);  // of 10, a little more than the share bears
+}
+
 // Who is shed under pressure follows the reserve that holds now, not the one at the start.
 TEST_F(OneHead, AReserveThatIsGivenWhileItServesCounts) {
   const auto shed_of_plan_0 = [&](bool planned) {
