--- a/src/solver/clash.cpp
+++ b/src/solver/clash.cpp
@@ -33,6 +33,7 @@
 
 // Nodes by their zones where they are all of a zone.
 std::string node_names(const Problem& p, const std::vector<int>& nodes) {
+  if (nodes.size() == p.nodes.size()) return "all nodes together";
   std::vector<std::string> zones, single;
   for (int z = 0; z < static_cast<int>(p.zones.size()); ++z) {
     std::vector<std::string> in;
@@ -96,10 +97,15 @@
     text += node_names(p, clash.cut.nodes) + " can't bear the reserve of " + volume_names(p, reserves) +
             ": " + units(clash.cut.needed) + " units a second must lie there, there is room for " +
             units(clash.cut.there) + ": " + units(clash.cut.needed - clash.cut.there) + " units short";
+    // The clash is as small as can be; what all reserves lack there may be far more.
+    if (const Cut all = bound_allows(p, 0); !all.allows && all.loss == clash.cut.loss &&
+                                            all.nodes == clash.cut.nodes &&
+                                            all.needed - all.there > clash.cut.needed - clash.cut.there)
+      text += " (with all reserves " + units(all.needed - all.there) + ")";
     if (others.empty()) return text;
     text += "; because ";
   } else {
-    text = "these can't be met together: ";
+    text = clash.set.size() == 1 ? "" : "these together: ";
     if (reserves.size() > kNamed) {
       Amount sum = 0;
       for (int v : reserves) sum += p.volumes[v].reserve;
