Checksums from the door to nodes and back; no client sees damaged data

A flipped bit at rest or on the way reached clients as it was. Extents have an XXH3-64 a block at the node and one of all in the catalogue (wire version 2); nodes turn damaged writes away before they do anything, heads check whole blocks before a byte goes on and fail with the reason where nothing good comes. Stand-ins flip bits in three places and cut answers short.

--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -20,6 +20,7 @@
 
 yewmount_package(base SOURCES src/base/base.cpp USES spdlog::spdlog nlohmann_json::nlohmann_json)
 yewmount_package(wire SOURCES src/wire/wire.cpp)
+yewmount_package(sums SOURCES src/sums/sums.cpp USES yewmount_wire)
 yewmount_package(net SOURCES src/net/link.cpp USES yewmount_wire Threads::Threads)
 yewmount_package(settings SOURCES src/settings/checked.cpp src/settings/head.cpp ${schemas}
                  USES yewmount_base yewmount_rules)
@@ -33,7 +34,8 @@
                  USES yewmount_net yewmount_base lmdb)
 yewmount_package(door SOURCES src/door/session.cpp USES yewmount_net yewmount_base http_parser)
 yewmount_package(head SOURCES src/head/daemon.cpp
-                 USES yewmount_carrier yewmount_list yewmount_catalogue yewmount_door yewmount_settings yewmount_plans)
+                 USES yewmount_carrier yewmount_list yewmount_catalogue yewmount_door yewmount_settings yewmount_plans
+                 yewmount_sums)
 
 function(yewmount_program name)
   cmake_parse_arguments(P "" "" "SOURCES;USES" ${ARGN})
@@ -46,7 +48,8 @@
 yewmount_program(yewmount-catalogue SOURCES src/catalogue/main.cpp USES yewmount_catalogue)
 
 # Stand-ins for what the program talks to; none of them is part of it.
-yewmount_program(yewmount-node SOURCES standins/node_main.cpp standins/node.cpp USES yewmount_net yewmount_settings)
+yewmount_program(yewmount-node SOURCES standins/node_main.cpp standins/node.cpp
+                 USES yewmount_net yewmount_settings yewmount_sums)
 yewmount_program(yewmount-list SOURCES standins/list_main.cpp USES yewmount_net yewmount_base)
 yewmount_program(yewmount-client SOURCES standins/client_main.cpp
                  USES yewmount_net yewmount_settings http_parser)
@@ -64,6 +67,8 @@
 if(benchmark_FOUND)
   add_executable(rules_bench EXCLUDE_FROM_ALL bench/rules_bench.cpp)
   target_link_libraries(rules_bench PRIVATE yewmount_rules benchmark::benchmark)
+  add_executable(sums_bench EXCLUDE_FROM_ALL bench/sums_bench.cpp)
+  target_link_libraries(sums_bench PRIVATE yewmount_sums benchmark::benchmark)
 endif()
 add_executable(head_bench EXCLUDE_FROM_ALL bench/head_bench.cpp)
 target_link_libraries(head_bench PRIVATE yewmount_days yewmount_net CLI11::CLI11)
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -28,7 +28,7 @@
 add_executable(yewmountd-planted EXCLUDE_FROM_ALL src/head/main.cpp src/head/daemon.cpp)
 target_compile_definitions(yewmountd-planted PRIVATE YEWMOUNT_PLANTED_FAULT)
 target_link_libraries(yewmountd-planted PRIVATE yewmount_carrier yewmount_list yewmount_catalogue yewmount_door
-                      yewmount_settings yewmount_plans CLI11::CLI11)
+                      yewmount_settings yewmount_plans yewmount_sums CLI11::CLI11)
 set_target_properties(yewmountd-planted PROPERTIES EXCLUDE_FROM_ALL OFF)
 add_test(NAME planted_fault_is_caught COMMAND ${CMAKE_SOURCE_DIR}/tests/judge/planted.sh ${CMAKE_BINARY_DIR}
          ${CMAKE_SOURCE_DIR}/days/quick-errors.json)
@@ -36,5 +36,6 @@
 add_test(NAME command_line COMMAND ${CMAKE_SOURCE_DIR}/tests/settings/command_line.sh ${CMAKE_BINARY_DIR}/bin)
 yewmount_test(list SOURCES tests/list/follower_test.cpp USES yewmount_list)
 yewmount_test(solver SOURCES tests/solver/small_test.cpp tests/solver/large_test.cpp USES yewmount_planning yewmount_judge)
+yewmount_test(sums SOURCES tests/sums/sums_test.cpp USES yewmount_sums)
 yewmount_test(plans SOURCES tests/plans/plan_test.cpp tests/plans/random_test.cpp USES yewmount_planning yewmount_judge)
 add_test(NAME plan_command_line COMMAND ${CMAKE_SOURCE_DIR}/tests/plans/command_line.sh ${CMAKE_BINARY_DIR}/bin)
--- a/src/carrier/carrier.cpp
+++ b/src/carrier/carrier.cpp
@@ -202,16 +202,18 @@
     told_.probe_ended(ended.node, result, now - ended.at, answer ? report(answer->load) : LoadReport{});
     return;
   }
-  Ended told{.id = ended.id,
-             .no = ended.no,
-             .node = ended.node,
-             .result = result,
-             .missing = answer && answer->outcome == wire::Outcome::missing,
-             .lag = now - ended.at,
-             .volume_use = answer ? answer->volume_use : 0,
-             .from_others = answer ? answer->from_others : 0,
-             .report = answer ? report(answer->load) : LoadReport{},
-             .data = data};
+  Ended told{
+      .id = ended.id,
+      .no = ended.no,
+      .node = ended.node,
+      .result = result,
+      .missing = answer && answer->outcome == wire::Outcome::missing,
+      .lag = now - ended.at,
+      .volume_use = answer ? answer->volume_use : 0,
+      .from_others = answer ? answer->from_others : 0,
+      .report = answer ? report(answer->load) : LoadReport{},
+      .data = data,
+      .sums = answer ? std::span<const std::uint64_t>(answer->sums) : std::span<const std::uint64_t>{}};
   told_.submit_ended(told);
 }
 
@@ -325,13 +327,14 @@
       return;
     }
     case wire::Type::answer: {
-      wire::Answer answer;
+      wire::Answer& answer = answer_;  // kept, so that its sums' memory is
       wire::get(frame, answer);
       const int o = answer.no >= 0 && answer.no < (1 << kSubmitBits) && answer.id < kProbeKey >> kSubmitBits
                         ? find(key_of(answer.id, answer.no))
                         : -1;
       if (o < 0 || outs_[o].line != at) return;  // it was given up before
-      static constexpr Result results[] = {Result::ended, Result::error, Result::turned_away, Result::ended};
+      static constexpr Result results[] = {Result::ended, Result::error, Result::turned_away, Result::ended,
+                                           Result::turned_away};
       return end(o, results[static_cast<int>(answer.outcome)], monotonic_now(), &answer, frame.data);
     }
     case wire::Type::probed: {
--- a/src/carrier/carrier.h
+++ b/src/carrier/carrier.h
@@ -5,6 +5,7 @@
 #include <asio.hpp>
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,7 +36,8 @@
   Micros lag;
   int volume_use, from_others;
   LoadReport report;
-  std::string_view data;  // good during the call only
+  std::string_view data;                // good during the call only
+  std::span<const std::uint64_t> sums;  // as long as data
 };
 
 class Told {
@@ -130,6 +132,7 @@
   std::uint64_t probes_ = 0;
   Micros swept_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  wire::Answer answer_;
 };
 
 }  // namespace yewmount::carrier
--- a/src/head/daemon.cpp
+++ b/src/head/daemon.cpp
@@ -6,6 +6,7 @@
 
 #include "base/base.h"
 #include "settings/checked.h"
+#include "sums/sums.h"
 
 namespace yewmount::head {
 namespace {
@@ -239,6 +240,7 @@
   s.units = w.units;
   s.fingerprint = w.fingerprint;
   s.try_for = try_for;
+  if (w.kind == wire::Kind::write) s.sum = w.sum;
   ++w.outs;
   ++counts_.submits;
   if (s.no > 0) ++counts_.further;
@@ -278,6 +280,7 @@
 #endif
   const int at = work_index_.find(ended.id);
   rules_->at(monotonic_now());
+  if (at >= 0 && ended.result == Result::ended) check_sums(works_[at], ended);
   const bool good = ended.result == Result::ended;
   if (at >= 0) {
     Work& w = works_[at];
@@ -294,6 +297,26 @@
   conclude(at, ended.missing ? Final::missing : Final::ended, ended.data);
 }
 
+// Not a byte goes on that isn't what was written: a flipped bit at rest or under way, a cut, another extent's
+// data. What was read wrong counts as an error of its node and may be read again.
+void Daemon::check_sums(Work& w, carrier::Ended& ended) {
+  if (w.kind != wire::Kind::read || ended.missing || w.sum == 0) return;
+  const std::string_view why =
+      sums::fault(w.extent, w.extent_length, w.sum, {w.offset, w.length}, ended.data, ended.sums);
+  if (why.empty()) return;
+  ++w.damaged;
+  ++counts_.damaged;
+  logs::error("damaged data",
+              {{"node", list_.node(ended.node).name},
+               {"volume", w.volume},
+               {"object", w.object},
+               {"extent", std::to_string(w.extent.head) + '-' + std::to_string(w.extent.serial)},
+               {"offset", w.offset},
+               {"why", why}});
+  ended.result = Result::error;
+  ended.data = {};
+}
+
 // --- block I/Os -------------------------------------------------------------------------------------------
 
 int Daemon::take(int exchange, wire::Kind kind, int group, const wire::Placed& extent, std::uint32_t offset,
@@ -320,6 +343,8 @@
   w.kind = kind;
   w.group = group;
   w.extent = extent.extent;
+  w.extent_length = extent.length;
+  w.sum = extent.sum;
   w.offset = offset, w.length = length;
   w.units = given_.units_for(length);
   w.volume = e.ask.volume, w.object = e.ask.object;
@@ -364,12 +389,13 @@
   e.effect |=
       ran && w.kind != wire::Kind::read && given_.rules.groups[w.group].repeat == Repeat::side_effecting;
   e.advice = advice;
+  if (w.kind == wire::Kind::read) e.damaged = w.damaged > 0 && final != Final::ended;
   // What was written and where is read by the step; then the place is free, whatever is still out.
   if (final == Final::ended && w.kind == wire::Kind::write) {
     const std::uint64_t key = stable_hash(w.volume + '/' + w.object);
     const int home = rules_->home(key, plan_of(w.volume));
     e.object.extents.push_back(
-        {w.extent, w.length, list_.node(w.ended_at).shard, home >= 0 ? list_.node(home).shard : -1});
+        {w.extent, w.length, list_.node(w.ended_at).shard, home >= 0 ? list_.node(home).shard : -1, w.sum});
   }
   work_index_.drop(w.id);
   in_hand_.drop(at);
@@ -607,7 +633,9 @@
   const wire::Placed& p = e.object.extents[e.at];
   const auto offset = static_cast<std::uint32_t>(e.from - begin);
   const auto length = static_cast<std::uint32_t>(std::min<std::uint64_t>(e.left, p.length - offset));
-  take(at, wire::Kind::read, e.group, p, offset, length, {}, &Daemon::read_done);
+  const sums::Part part = p.sum != 0 ? sums::covering(offset, length, p.length) : sums::Part{offset, length};
+  e.skip = offset - part.offset, e.want = length;
+  take(at, wire::Kind::read, e.group, p, part.offset, part.length, {}, &Daemon::read_done);
 }
 
 void Daemon::read_done(int at, Final final, std::string_view data) {
@@ -617,13 +645,19 @@
     e.reread = true;
     return catalogue_.look(e.ask.volume, e.ask.object, e.answer_by, then(at, &Daemon::looked_up));
   }
+  if (final == Final::ended && data.size() >= e.skip + std::size_t{e.want})
+    data = data.substr(e.skip, e.want);
   if (final != Final::ended || data.empty() || data.size() > e.left) {
     if (e.session->answering()) {
       // The status has gone out: only a broken connection tells that the rest does not come.
       const auto session = e.session;
       return session->cut();
     }
-    if (final == Final::shed)
+    if (e.damaged) {
+      ++counts_.lost;
+      e.may_have_run = false;  // a read: nothing has been done
+      answer_failed(e, "its data is damaged where it lies");
+    } else if (final == Final::shed)
       answer_shed(e);
     else
       answer_failed(e, final == Final::failed ? "no node answered in time" : "the data is not at its node");
@@ -712,6 +746,8 @@
   if (!e.body_done) e.session->hold_body(false);
   wire::Placed placed;
   placed.extent = {start_, ++last_extent_};
+  placed.length = length;
+  placed.sum = sums::whole(placed.extent, data);
   take(at, wire::Kind::write, e.group, placed, 0, length, std::move(data), &Daemon::write_done);
 }
 
@@ -840,6 +876,8 @@
       {"catalogue_failed_total", counts_.catalogue_failed},
       {"turns_total", counts_.turns},
       {"stood_still_total", counts_.stood_still},
+      {"damaged_total", counts_.damaged},
+      {"damaged_answers_total", counts_.lost},
       {"plans_taken_total", counts_.plans_taken},
       {"plans_turned_down_total", counts_.plans_turned_down},
       {"plan_number", plan_.held().number},
--- a/src/head/daemon.h
+++ b/src/head/daemon.h
@@ -22,7 +22,8 @@
 
 struct Counts {
   std::uint64_t taken = 0, ended = 0, shed = 0, failed = 0, submits = 0, further = 0, left = 0, not_taken = 0;
-  std::uint64_t turns = 0, catalogue_failed = 0, stood_still = 0, plans_taken = 0, plans_turned_down = 0;
+  std::uint64_t turns = 0, catalogue_failed = 0, stood_still = 0, plans_taken = 0, damaged = 0, lost = 0,
+                plans_turned_down = 0;
   Micros longest_turn = 0;
 };
 
@@ -54,7 +55,9 @@
     bool live = false, may_have_run = false;
     wire::Kind kind = wire::Kind::read;
     wire::ExtentId extent;
-    std::uint32_t offset = 0, length = 0;
+    std::uint32_t offset = 0, length = 0, extent_length = 0;
+    std::uint64_t sum = 0;  // of the whole extent; 0: none is known
+    int damaged = 0;        // submits whose data was not what was written
     std::string volume, object, data;
     int ended_at = -1;  // the node that ended it
     Step next = nullptr;
@@ -80,6 +83,8 @@
     wire::Object object;
     std::size_t at = 0;                // the extent being read
     std::uint64_t from = 0, left = 0;  // bytes of the object still to be read
+    std::uint32_t skip = 0, want = 0;  // of what comes next: it is read by whole blocks
+    bool damaged = false;              // its data is not what was written, wherever it was read
     std::string body;                  // not yet taken
     std::uint64_t body_bytes = 0;
     bool body_done = false;
@@ -147,6 +152,7 @@
   void discard(const std::string& volume, const std::string& object, const wire::Object& old);
   void discard_done(int exchange, Final final, std::string_view data);
 
+  void check_sums(Work& w, carrier::Ended& ended);
   int take(int exchange, wire::Kind kind, int group, const wire::Placed& extent, std::uint32_t offset,
            std::uint32_t length, std::string data, Step next);
   void conclude(int work, Final final, std::string_view data, Micros advice = 0);
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -9,7 +9,7 @@
 
 constexpr std::size_t kMostTokens = 1 << 18;
 constexpr int kMostDepth = 4;
-constexpr std::size_t kPlacedFields = 5, kEntryFields = 9;  // values of one element of a flat array
+constexpr std::size_t kPlacedFields = 6, kEntryFields = 9;  // values of one element of a flat array
 
 struct Sink {
   std::string& out;
@@ -63,7 +63,7 @@
   Packing& operator<<(const Object& o) {
     *this << o.stamp << o.length;
     array(o.extents.size() * kPlacedFields);
-    for (const Placed& p : o.extents) *this << p.extent << p.length << p.shard << p.home;
+    for (const Placed& p : o.extents) *this << p.extent << p.length << p.shard << p.home << p.sum;
     return *this;
   }
   void array(std::size_t count) { pack_.pack_array(static_cast<std::uint32_t>(count)); }
@@ -197,7 +197,7 @@
   Reading& operator>>(Object& o) {
     *this >> o.stamp >> o.length;
     o.extents.resize(count(kPlacedFields));
-    for (Placed& p : o.extents) *this >> p.extent >> p.length >> p.shard >> p.home;
+    for (Placed& p : o.extents) *this >> p.extent >> p.length >> p.shard >> p.home >> p.sum;
     return *this;
   }
   // How many of so many fields each lie in the array that comes next.
@@ -233,16 +233,16 @@
 }
 
 void put(std::string& out, const Submit& m, std::string_view data) {
-  Packing p(out, Type::submit, 14);
+  Packing p(out, Type::submit, 15);
   p << m.id << m.no << m.kind << m.repeat << m.group << m.volume << m.object << m.extent << m.offset
-    << m.length << m.units << m.fingerprint << m.try_for;
+    << m.length << m.units << m.fingerprint << m.try_for << m.sum;
   p.done(data);
 }
 void get(const Frame& f, Submit& m) {
-  Reading r(f.meta, "submit", 14);
+  Reading r(f.meta, "submit", 15);
   r >> m.id >> m.no;
   r.up_to(m.kind, Kind::discard).up_to(m.repeat, Repeat::side_effecting) >> m.group >> m.volume >> m.object >>
-      m.extent >> m.offset >> m.length >> m.units >> m.fingerprint >> m.try_for;
+      m.extent >> m.offset >> m.length >> m.units >> m.fingerprint >> m.try_for >> m.sum;
   r.end();
   if (m.no < 0 || m.units < 1) r.bad("has a number out of range");
   if (m.kind == Kind::write && f.data.size() != m.length) r.bad("has other data than its length says");
@@ -250,14 +250,18 @@
 }
 
 void put(std::string& out, const Answer& m, std::string_view data) {
-  Packing p(out, Type::answer, 9);
+  Packing p(out, Type::answer, 10);
   p << m.id << m.no << m.outcome << m.volume_use << m.from_others << m.load;
+  p.array(m.sums.size());
+  for (std::uint64_t sum : m.sums) p << sum;
   p.done(data);
 }
 void get(const Frame& f, Answer& m) {
-  Reading r(f.meta, "answer", 9);
+  Reading r(f.meta, "answer", 10);
   r >> m.id >> m.no;
-  r.up_to(m.outcome, Outcome::missing) >> m.volume_use >> m.from_others >> m.load;
+  r.up_to(m.outcome, Outcome::damaged) >> m.volume_use >> m.from_others >> m.load;
+  m.sums.resize(r.count(1));
+  for (std::uint64_t& sum : m.sums) r >> sum;
   r.end();
 }
 
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -12,7 +12,7 @@
 
 namespace yewmount::wire {
 
-inline constexpr std::uint8_t kVersion = 1;
+inline constexpr std::uint8_t kVersion = 2;
 inline constexpr std::size_t kHeaderBytes = 12;
 inline constexpr std::size_t kMetaBytes = 1 << 20;   // the longest meta part of a frame
 inline constexpr std::size_t kDataBytes = 16 << 20;  // the longest data part of a frame
@@ -46,7 +46,8 @@
 enum class Role : std::uint8_t { head, node, list, catalogue };
 enum class Kind : std::uint8_t { read, write, discard };
 enum class Repeat : std::uint8_t { idempotent, fingerprinted, side_effecting };
-enum class Outcome : std::uint8_t { ended, error, turned_away, missing };  // missing: ended, nothing there
+// missing: ended, nothing there. damaged: a write whose data came with another sum; surely not run.
+enum class Outcome : std::uint8_t { ended, error, turned_away, missing, damaged };
 
 struct ExtentId {  // unique for ever: the head's random number of its start, and a count
   std::uint64_t head = 0, serial = 0;
@@ -71,6 +72,7 @@
   int units = 1;
   std::uint64_t fingerprint = 0;  // 0: none
   std::int64_t try_for = 0;       // until the head stops waiting
+  std::uint64_t sum = 0;          // of a write: its whole extent's (src/sums)
 };
 
 // Values of a load report; negative: not told.
@@ -85,6 +87,7 @@
   Outcome outcome = Outcome::ended;
   int volume_use = 0, from_others = 0;
   Load load;
+  std::vector<std::uint64_t> sums{};  // of a read: of each block of the whole extent
 };
 
 struct Cancel {
@@ -129,6 +132,7 @@
   ExtentId extent;
   std::uint32_t length = 0;
   int shard = -1, home = -1;  // where it is; where the hash puts it. Unlike: a redirect
+  std::uint64_t sum = 0;      // of all its data; 0: none is known
 };
 
 struct Object {
--- a/standins/node.h
+++ b/standins/node.h
@@ -64,8 +64,9 @@
   void take(net::Link& link, const wire::Submit& submit, std::string_view data);
   void begin_jobs();
   void finish(int job);
-  wire::Outcome run(Job& job, std::string& read);
-  void answer(int conn, const Job& job, wire::Outcome outcome, std::string_view data);
+  wire::Outcome run(Job& job, std::string& read, std::vector<std::uint64_t>& sums);
+  void answer(int conn, const Job& job, wire::Outcome outcome, std::string_view data,
+              std::vector<std::uint64_t> sums = {});
   double warmth(std::int64_t now) const;
   double power(std::int64_t now) const;  // of a core: work done in a microsecond
   bool over_sent(std::int64_t now, double units);
@@ -74,6 +75,7 @@
   bool chance(double part) { return part > 0 && std::uniform_real_distribution<>(0, 1)(random_) < part; }
   wire::Load load() const;
   std::string file_of(const wire::ExtentId& e) const;
+  void flip(std::string& data, const char* where, const Job& job);
 
   asio::io_context& io_;
   NodeProvision given_;
@@ -88,6 +90,7 @@
   std::deque<int> waiting_;
   std::priority_queue<Running> finishing_;
   std::map<std::pair<std::uint64_t, std::uint64_t>, std::string> memory_;
+  std::map<std::pair<std::uint64_t, std::uint64_t>, std::vector<std::uint64_t>> sums_;  // apart from the data
   std::deque<std::string> keys_;
   std::deque<std::pair<std::int64_t, double>> arrivals_;
   double arrived_ = 0;
@@ -102,6 +105,7 @@
   mutable wire::Load told_;
   // Faults on command.
   bool hang_ = false, draining_ = false, fallen_ = false;
+  double flip_rest_ = 0, flip_in_ = 0, flip_out_ = 0, shorten_ = 0;
   double slow_ = 1, errors_ = 0, lose_ = 0, cut_ = 0, heavy_part_ = 0, heavy_ = 1;
   std::string heavy_group_;
   std::unique_ptr<net::Listener> listener_;
