A scrubber that yields: each head reads its part of all data within a budget and reports

Damage at rest was met only by a client that read it. src/background decides when background work may go on (classes, budgets, yielding by the module's calm, coming back with care, starving told); heads walk the catalogue (frames walk and walked), read their part by hash as block I/Os that draw nothing of live volumes, keep their place on disk, and report at /.yewmount/scrub.

--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -20,6 +20,7 @@
 
 yewmount_package(base SOURCES src/base/base.cpp USES spdlog::spdlog nlohmann_json::nlohmann_json)
 yewmount_package(wire SOURCES src/wire/wire.cpp)
+yewmount_package(background SOURCES src/background/background.cpp)
 yewmount_package(sums SOURCES src/sums/sums.cpp USES yewmount_wire)
 yewmount_package(net SOURCES src/net/link.cpp USES yewmount_wire Threads::Threads)
 yewmount_package(settings SOURCES src/settings/checked.cpp src/settings/head.cpp ${schemas}
@@ -33,9 +34,9 @@
 yewmount_package(catalogue SOURCES src/catalogue/store.cpp src/catalogue/server.cpp src/catalogue/client.cpp
                  USES yewmount_net yewmount_base lmdb)
 yewmount_package(door SOURCES src/door/session.cpp USES yewmount_net yewmount_base http_parser)
-yewmount_package(head SOURCES src/head/daemon.cpp
+yewmount_package(head SOURCES src/head/daemon.cpp src/head/scrubbing.cpp
                  USES yewmount_carrier yewmount_list yewmount_catalogue yewmount_door yewmount_settings yewmount_plans
-                 yewmount_sums)
+                 yewmount_sums yewmount_background)
 
 function(yewmount_program name)
   cmake_parse_arguments(P "" "" "SOURCES;USES" ${ARGN})
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -25,10 +25,10 @@
 yewmount_test(head SOURCES tests/head/head_test.cpp USES yewmount_head)
 
 # A head that passes off what may have run as surely not run: the judge must catch it. Never installed.
-add_executable(yewmountd-planted EXCLUDE_FROM_ALL src/head/main.cpp src/head/daemon.cpp)
+add_executable(yewmountd-planted EXCLUDE_FROM_ALL src/head/main.cpp src/head/daemon.cpp src/head/scrubbing.cpp)
 target_compile_definitions(yewmountd-planted PRIVATE YEWMOUNT_PLANTED_FAULT)
 target_link_libraries(yewmountd-planted PRIVATE yewmount_carrier yewmount_list yewmount_catalogue yewmount_door
-                      yewmount_settings yewmount_plans yewmount_sums CLI11::CLI11)
+                      yewmount_settings yewmount_plans yewmount_sums yewmount_background CLI11::CLI11)
 set_target_properties(yewmountd-planted PROPERTIES EXCLUDE_FROM_ALL OFF)
 add_test(NAME planted_fault_is_caught COMMAND ${CMAKE_SOURCE_DIR}/tests/judge/planted.sh ${CMAKE_BINARY_DIR}
          ${CMAKE_SOURCE_DIR}/days/quick-errors.json)
@@ -36,6 +36,7 @@
 add_test(NAME command_line COMMAND ${CMAKE_SOURCE_DIR}/tests/settings/command_line.sh ${CMAKE_BINARY_DIR}/bin)
 yewmount_test(list SOURCES tests/list/follower_test.cpp USES yewmount_list)
 yewmount_test(solver SOURCES tests/solver/small_test.cpp tests/solver/large_test.cpp USES yewmount_planning yewmount_judge)
+yewmount_test(background SOURCES tests/background/background_test.cpp USES yewmount_background)
 yewmount_test(sums SOURCES tests/sums/sums_test.cpp USES yewmount_sums)
 yewmount_test(plans SOURCES tests/plans/plan_test.cpp tests/plans/random_test.cpp USES yewmount_planning yewmount_judge)
 add_test(NAME plan_command_line COMMAND ${CMAKE_SOURCE_DIR}/tests/plans/command_line.sh ${CMAKE_BINARY_DIR}/bin)
--- a/fuzz/wire_any.h
+++ b/fuzz/wire_any.h
@@ -33,6 +33,10 @@
       return as(Altered{});
     case Type::fault:
       return as(Fault{});
+    case Type::walk:
+      return as(Walk{});
+    case Type::walked:
+      return as(Walked{});
   }
 }
 
--- a/src/catalogue/client.cpp
+++ b/src/catalogue/client.cpp
@@ -79,6 +79,16 @@
   send(call);
 }
 
+void Client::walk(std::string_view after_volume, std::string_view after_name, int most, std::int64_t until,
+                  Then then) {
+  const std::uint64_t number = ++last_;
+  Call& call = calls_[number];
+  call.until = until;
+  call.then = std::move(then);
+  wire::put(call.frame, wire::Walk{number, after_volume, after_name, most});
+  send(call);
+}
+
 void Client::alter(wire::Alter change, std::int64_t until, Then then) {
   const std::uint64_t number = ++last_;
   Call& call = calls_[number];
@@ -136,6 +146,14 @@
         keep(it->second.volume, it->second.name, result.now);
       return end(found.call, std::move(result));
     }
+    case wire::Type::walked: {
+      wire::Walked walked;
+      wire::get(frame, walked);
+      result.fate = Fate::done;
+      result.end = walked.end;
+      result.entries = std::move(walked.entries);
+      return end(walked.call, std::move(result));
+    }
     case wire::Type::changed: {
       wire::Altered altered;
       wire::get(frame, altered);
--- a/src/catalogue/client.h
+++ b/src/catalogue/client.h
@@ -24,6 +24,8 @@
 struct Result {
   Fate fate = Fate::unreachable;
   wire::Object now, before;
+  bool end = false;  // of a walk: there is nothing after these
+  std::vector<wire::Walked::Entry> entries{};
 };
 
 struct ClientProvision {
@@ -43,6 +45,8 @@
   const wire::Object* kept(std::string_view volume, std::string_view name, std::int64_t now);
   // Then hears exactly once, until `until` at the latest. It is never called from within these functions.
   void look(std::string_view volume, std::string_view name, std::int64_t until, Then then);
+  void walk(std::string_view after_volume, std::string_view after_name, int most, std::int64_t until,
+            Then then);
   void alter(wire::Alter change, std::int64_t until, Then then);
 
   void expire(std::int64_t now);  // a few times a tick
--- a/src/catalogue/server.cpp
+++ b/src/catalogue/server.cpp
@@ -1,8 +1,15 @@
 #include "catalogue/server.h"
 
+#include <algorithm>
+
 #include "base/base.h"
 
 namespace yewmount::catalogue {
+namespace {
+
+constexpr int kMostWalked = 200;  // objects of one answer: a frame and a turn have their lengths
+
+}  // namespace
 
 Server::Server(asio::io_context& io, Store& store, const std::string& address, std::uint16_t port)
     : store_(store), start_(fresh_number()), listener_(io, address, port, [this](asio::ip::tcp::socket s) {
@@ -28,6 +35,15 @@
       wire::put(link.out(), found);
       return;
     }
+    case wire::Type::walk: {
+      wire::Walk walk;
+      wire::get(frame, walk);
+      wire::Walked walked;
+      walked.call = walk.call;
+      walked.end = store_.walk(walk.volume, walk.object, std::min(walk.most, kMostWalked), walked.entries);
+      wire::put(link.out(), walked);
+      return;
+    }
     case wire::Type::change: {
       wire::Alter change;
       wire::get(frame, change);
--- a/src/catalogue/store.cpp
+++ b/src/catalogue/store.cpp
@@ -51,13 +51,15 @@
   return out;
 }
 
-bool read_value(std::string_view bytes, std::string_view name, wire::Object& object) {
+bool read_value(std::string_view bytes, std::string_view name, wire::Object& object,
+                std::string* whole_name = nullptr) {
   std::uint32_t size = 0;
   if (bytes.size() < 4) throw std::runtime_error("catalogue: an entry is cut short");
   for (int i = 0; i < 4; ++i)
     size |= static_cast<std::uint32_t>(static_cast<unsigned char>(bytes[i])) << (8 * i);
   if (bytes.size() < 4 + size) throw std::runtime_error("catalogue: an entry is cut short");
   if (!name.empty() && bytes.substr(4, size) != name) return false;
+  if (whole_name) *whole_name = bytes.substr(4, size);
   object = wire::unpack(bytes.substr(4 + size));
   return true;
 }
@@ -207,6 +209,26 @@
   return outcomes;
 }
 
+bool Store::walk(std::string_view volume, std::string_view name, int most,
+                 std::vector<wire::Walked::Entry>& out) const {
+  Txn txn(disk_->env, false);
+  Cursor cursor(txn, disk_->objects);
+  const bool first = volume.empty() && name.empty();
+  const std::string after = first ? std::string() : key_of(volume, name);
+  MDB_val k = val(after), v;
+  int code = mdb_cursor_get(cursor.at, &k, &v, first ? MDB_FIRST : MDB_SET_RANGE);
+  if (code == MDB_SUCCESS && !first && view(k) == after) code = mdb_cursor_get(cursor.at, &k, &v, MDB_NEXT);
+  for (; code == MDB_SUCCESS; code = mdb_cursor_get(cursor.at, &k, &v, MDB_NEXT)) {
+    if (static_cast<int>(out.size()) >= most) return false;
+    wire::Walked::Entry& e = out.emplace_back();
+    const std::string_view key = view(k);
+    e.volume = key.substr(0, key.find('\0'));
+    read_value(view(v), {}, e.object, &e.name);
+  }
+  if (code != MDB_NOTFOUND) must("walk", code);
+  return true;
+}
+
 std::vector<Store::Freed> Store::freed(std::size_t most) const {
   std::vector<Freed> all;
   Txn txn(disk_->env, false);
--- a/src/catalogue/store.h
+++ b/src/catalogue/store.h
@@ -32,6 +32,10 @@
   // One outcome for each gathered change; all unwritable where the disk did not take them.
   std::vector<Outcome> commit(std::string& why);
 
+  // The objects after one in the order of their keys, so many at most; true: there are no more. Both empty:
+  // from the first.
+  bool walk(std::string_view volume, std::string_view name, int most,
+            std::vector<wire::Walked::Entry>& out) const;
   struct Freed {
     wire::ExtentId extent;
     int shard;
--- a/src/days/runner.cpp
+++ b/src/days/runner.cpp
@@ -246,6 +246,8 @@
     if (day_.contains("planning"))
       s["plan"] = {{"file", plan_file()},
                    {"held", folder_ + "/run/plan.head-" + std::to_string(h) + ".json"}};
+    if (s.contains("scrub"))
+      s["scrub"]["cursor"] = folder_ + "/run/scrub.head-" + std::to_string(h) + ".json";
     if (day_.contains("ask_every_ms")) s["list"]["ask_every_ms"] = day_["ask_every_ms"];
     json catalogue = s.value("catalogue", json::object());
     catalogue["address"] = "127.0.0.1", catalogue["port"] = catalogue_port_;
--- a/src/head/daemon.cpp
+++ b/src/head/daemon.cpp
@@ -38,6 +38,7 @@
   rules_->at(started_);
   all_plans_ = given_.rules.plans;
   remember_plan();
+  start_scrub();
   list_.start(started_);
   take_plan();
   door_ = std::make_unique<door::Door>(
@@ -85,6 +86,7 @@
     rules_->woke(token);
     catalogue_.expire(now);
   }
+  if (scrub_ && drain_from_ < 0) scrub_turn(now);
   rules_->settle();
   carrier_.flush();
   catalogue_.flush();
@@ -324,7 +326,8 @@
   Exchange& e = exchanges_[exchange];
   const auto known = given_.volumes.find(e.ask.volume);
   const settings::Volume volume = known != given_.volumes.end() ? known->second : settings::Volume{};
-  VolumeUse& use = uses_[e.ask.volume];
+  // What goes on in the background draws nothing of what its volume is due.
+  VolumeUse& use = uses_[e.background ? std::string("/background") : e.ask.volume];
   const Micros now = monotonic_now();
   if (use.index < 0) {
     use.index = free_volumes_.empty() ? volumes_++ : free_volumes_.back();
@@ -371,7 +374,7 @@
                 .object = key,
                 .give_up_at = std::max(give_up, now + 1),
                 .group = group,
-                .plan = plan_of(w.volume),
+                .plan = e.background ? given_.scrub.plan : plan_of(w.volume),
                 .volume = use.index,
                 .shard = kind == wire::Kind::write ? -1 : extent.shard,
                 .units = w.units,
@@ -406,6 +409,19 @@
   (this->*next)(exchange, final, data);
 }
 
+// An exchange of no client.
+int Daemon::open_exchange() {
+  const int at = exchanges_.claim_as_left();
+  exchanges_[at].renew();
+  open_.add(at);
+  Exchange& e = exchanges_[at];
+  e.live = true;
+  e.token = ++last_token_;
+  e.answered = true;
+  e.answer_by = INT64_MAX;
+  return at;
+}
+
 // --- exchanges --------------------------------------------------------------------------------------------
 
 Daemon::Exchange* Daemon::alive(int exchange, std::uint64_t token) {
@@ -506,12 +522,9 @@
                                                          : settings::Method::get;
   const int group = given_.group_for(ask.volume, method, std::max<std::int64_t>(ask.length, 0));
   if (group < 0 && ask.method != door::Method::drop) return refuse(403, "no I/O group takes this");
-  const int at = exchanges_.claim_as_left();
-  exchanges_[at].renew();
-  open_.add(at);
+  const int at = open_exchange();
   Exchange& e = exchanges_[at];
-  e.live = true;
-  e.token = ++last_token_;
+  e.answered = false;
   e.session = session.shared_from_this();
   e.ask = ask;
   e.group = group;
@@ -834,14 +847,8 @@
   const int group = given_.group_for(volume, settings::Method::drop, 0);
   if (group < 0) return;
   for (const wire::Placed& p : old.extents) {
-    const int at = exchanges_.claim_as_left();
-    exchanges_[at].renew();
-    open_.add(at);
+    const int at = open_exchange();
     Exchange& e = exchanges_[at];
-    e.live = true;
-    e.token = ++last_token_;
-    e.answered = true;
-    e.answer_by = INT64_MAX;
     e.group = group;
     e.ask.volume = volume, e.ask.object = object;
     e.object.extents.push_back(p);
@@ -876,6 +883,8 @@
       {"catalogue_failed_total", counts_.catalogue_failed},
       {"turns_total", counts_.turns},
       {"stood_still_total", counts_.stood_still},
+      {"scrubbed_extents", scrub_ ? scrub_->round.extents : 0},
+      {"scrub_round", scrub_ ? scrub_->round.number : 0},
       {"damaged_total", counts_.damaged},
       {"damaged_answers_total", counts_.lost},
       {"plans_taken_total", counts_.plans_taken},
@@ -902,6 +911,8 @@
     return session.answer(405, "Allow: GET, HEAD\r\n", "");
   if (ask.object == "metrics")
     return session.answer(200, "Content-Type: text/plain; version=0.0.4\r\n", metrics());
+  if (ask.object == "scrub" && scrub_)
+    return session.answer(200, "Content-Type: application/json\r\n", scrub_report().dump() + "\n");
   if (ask.object != "health") return session.answer(404, "", "");
   const bool fine = drain_from_ < 0 && catalogue_.connected();
   const nlohmann::json body = {{"name", given_.name},
--- a/src/head/daemon.h
+++ b/src/head/daemon.h
@@ -3,12 +3,14 @@
 // step of its client's exchange. It decides nothing of its own.
 #pragma once
 #include <asio.hpp>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "background/background.h"
 #include "carrier/carrier.h"
 #include "catalogue/client.h"
 #include "door/session.h"
@@ -84,6 +86,7 @@
     std::size_t at = 0;                // the extent being read
     std::uint64_t from = 0, left = 0;  // bytes of the object still to be read
     std::uint32_t skip = 0, want = 0;  // of what comes next: it is read by whole blocks
+    bool background = false;           // on behalf of no client, and of no volume's due
     bool damaged = false;              // its data is not what was written, wherever it was read
     std::string body;                  // not yet taken
     std::uint64_t body_bytes = 0;
@@ -152,6 +155,24 @@
   void discard(const std::string& volume, const std::string& object, const wire::Object& old);
   void discard_done(int exchange, Final final, std::string_view data);
 
+  // Scrubbing (scrubbing.cpp): a walk over the catalogue, this head's part of it read and checked.
+  struct Scrub {
+    background::Scheduler scheduler;
+    background::Round round;
+    std::deque<wire::Walked::Entry> page;
+    std::size_t extent = 0;  // of the first entry of the page
+    bool walking = false, reading = false, last_page = false, told_starved = false;
+    Micros next_round = 0, saved = 0;
+    std::deque<nlohmann::json> found;  // the last damages, for the report
+  };
+  void start_scrub();
+  void scrub_turn(Micros now);
+  void scrub_page(catalogue::Result&& page);
+  void scrub_step(Micros now);
+  void scrub_read(int exchange, Final final, std::string_view data);
+  void save_scrub();
+  nlohmann::json scrub_report() const;
+
   void check_sums(Work& w, carrier::Ended& ended);
   int take(int exchange, wire::Kind kind, int group, const wire::Placed& extent, std::uint32_t offset,
            std::uint32_t length, std::string data, Step next);
@@ -161,6 +182,7 @@
   void answer_plain(Exchange& e, int status, std::string_view why);
   void add_bio(const Exchange& e);
   std::string_view start_headers(const Exchange& e, std::string_view answer);
+  int open_exchange();
   void over(int exchange);
   Exchange* alive(int exchange, std::uint64_t token);
   std::function<void(catalogue::Result&&)> then(int exchange, void (Daemon::*step)(int, catalogue::Result&&));
@@ -184,6 +206,7 @@
   std::vector<Plan> all_plans_;  // of the settings, then one for each volume that a plan ever spoke of
   int volumes_ = 0;
   std::vector<std::pair<Micros, std::uint64_t>> wakes_;
+  std::unique_ptr<Scrub> scrub_;
   Counts counts_;
   std::string headers_;  // of the answer that is being made
   std::uint64_t last_serial_ = 0, last_extent_ = 0, last_token_ = 0;
--- a/src/rules/rules.cpp
+++ b/src/rules/rules.cpp
@@ -884,9 +884,9 @@
 
 Head::Footprint Head::footprint() const {
   const Desk& d = *desk_;
-  return {d.hand_.size(),  d.held_.size(),
-          d.nodes_.size(), d.volumes_.size(),
-          d.lines_.size(), d.takes_.size() + d.furthers_.size() + d.lingers_.size() + d.rests_.size()};
+  const std::size_t marks = d.takes_.size() + d.furthers_.size() + d.lingers_.size() + d.rests_.size();
+  return {d.hand_.size(),  d.held_.size(), d.nodes_.size(), d.volumes_.size(),
+          d.lines_.size(), marks,          d.calm_};
 }
 
 void Head::stream_started(std::uint64_t id, int) {
--- a/src/rules/rules.h
+++ b/src/rules/rules.h
@@ -126,6 +126,7 @@
   int home(std::uint64_t object, int plan) const;
   struct Footprint {
     std::size_t in_hand, held, nodes, volumes, lines, marks;
+    double calm;  // 1: answers show no wait; towards 0: they do
   };
   Footprint footprint() const;  // what is kept in memory, counted
   void settle();                // once after the calls of one moment: this is where the held ones leave
--- a/src/settings/head.cpp
+++ b/src/settings/head.cpp
@@ -220,8 +220,20 @@
     choice.group = index(h.groups, c, "group", "I/O group");
     h.choices.push_back(choice);
   }
+  if (top.has("scrub")) {
+    const Place s = top["scrub"];
+    h.scrub = {.group = index(h.groups, s, "group", "I/O group"),
+               .plan = index(plan_names, s, "plan", "plan"),
+               .units_a_second = s.get("units_a_second", 1.0),
+               .calm_from = s.get("calm_from", 0.5),
+               .rest = s.ms("rest_ms", 500),
+               .between = s.ms("pause_between_ms", 60'000),
+               .cursor = s.text("cursor")};
+    if (r.groups[h.scrub.group].repeat != Repeat::idempotent)
+      s["group"].bad("scrubbing reads: an idempotent I/O group");
+  }
   for (const char* key : {"name", "heads", "own_number", "seed", "listen", "list", "catalogue", "carrier",
-                          "plan", "unit_bytes", "groups", "plans", "nodes", "allowed", "rules"})
+                          "plan", "scrub", "unit_bytes", "groups", "plans", "nodes", "allowed", "rules"})
     if (top.has(key)) h.fixed[key] = given[key];
   return h;
 }
--- a/src/settings/head.h
+++ b/src/settings/head.h
@@ -28,6 +28,13 @@
   int plan = 0, heads = 1;
 };
 
+struct Scrubbing {
+  int group = -1, plan = 0;  // group -1: nothing is scrubbed
+  double units_a_second = 0, calm_from = 0.5;
+  Micros rest = 0, between = 0;  // between two rounds
+  std::string cursor;
+};
+
 struct HeadProvision {
   std::string name, log_level;
   Service listen, list, catalogue;
@@ -45,6 +52,7 @@
   std::vector<std::string> groups;
   std::vector<Choice> choices;
   std::unordered_map<std::string, Volume> volumes;
+  Scrubbing scrub;
   Provisioning rules;
   nlohmann::json fixed;  // what can't change while the head runs
 
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -9,7 +9,8 @@
 
 constexpr std::size_t kMostTokens = 1 << 18;
 constexpr int kMostDepth = 4;
-constexpr std::size_t kPlacedFields = 6, kEntryFields = 9;  // values of one element of a flat array
+constexpr std::size_t kPlacedFields = 6, kEntryFields = 9,
+                      kWalkedFields = 5;  // values of one element of a flat array
 
 struct Sink {
   std::string& out;
@@ -353,6 +354,34 @@
   r.end();
 }
 
+void put(std::string& out, const Walk& m) {
+  Packing p(out, Type::walk, 4);
+  p << m.call << m.volume << m.object << m.most;
+  p.done();
+}
+void get(const Frame& f, Walk& m) {
+  Reading r(f.meta, "walk", 4);
+  r >> m.call >> m.volume >> m.object >> m.most;
+  r.end();
+  if (m.most < 1) r.bad("has a number out of range");
+}
+
+void put(std::string& out, const Walked& m) {
+  Packing p(out, Type::walked, 3);
+  p << m.call << m.end;
+  p.array(m.entries.size() * kWalkedFields);
+  for (const Walked::Entry& e : m.entries)
+    p << std::string_view(e.volume) << std::string_view(e.name) << e.object;
+  p.done();
+}
+void get(const Frame& f, Walked& m) {
+  Reading r(f.meta, "walked", 3);
+  r >> m.call >> m.end;
+  m.entries.resize(r.count(kWalkedFields));
+  for (Walked::Entry& e : m.entries) r >> e.volume >> e.name >> e.object;
+  r.end();
+}
+
 void put(std::string& out, const Alter& m) {
   Packing p(out, Type::change, 9);
   p << m.call << m.change << m.condition << m.stamp << m.volume << m.name << m.object;
@@ -425,7 +454,7 @@
                     std::to_string(kVersion) + " is");
   if (here < kHeaderBytes) return false;
   const auto type = static_cast<std::uint8_t>(at[3]);
-  if (type < static_cast<int>(Type::hello) || type > static_cast<int>(Type::fault))
+  if (type < static_cast<int>(Type::hello) || type > static_cast<int>(Type::walked))
     throw Malformed("unknown frame type " + std::to_string(type));
   const std::size_t meta = big(at + 4), data = big(at + 8);
   if (meta > kMetaBytes || data > kDataBytes)
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -35,7 +35,9 @@
   found,
   change,
   changed,
-  fault
+  fault,
+  walk,
+  walked
 };
 
 struct Frame {  // views into the buffer that it was cut from
@@ -172,6 +174,22 @@
   Object before;  // what it took the place of
 };
 
+struct Walk {  // the objects after one, in the catalogue's order; empty texts: from the first
+  std::uint64_t call = 0;
+  std::string_view volume, object;
+  int most = 0;
+};
+
+struct Walked {
+  struct Entry {
+    std::string volume, name;
+    Object object;
+  };
+  std::uint64_t call = 0;
+  bool end = false;  // there are none after these
+  std::vector<Entry> entries;
+};
+
 struct Fault {
   std::string_view reason;
 };
@@ -189,6 +207,8 @@
 void put(std::string& out, const Found& m);
 void put(std::string& out, const Alter& m);
 void put(std::string& out, const Altered& m);
+void put(std::string& out, const Walk& m);
+void put(std::string& out, const Walked& m);
 void put(std::string& out, const Fault& m);
 
 // Each decodes the meta part of a frame of its type; views point into it.
@@ -204,6 +224,8 @@
 void get(const Frame& f, Found& m);
 void get(const Frame& f, Alter& m);
 void get(const Frame& f, Altered& m);
+void get(const Frame& f, Walk& m);
+void get(const Frame& f, Walked& m);
 void get(const Frame& f, Fault& m);
 
 // An object alone, as the catalogue stores it.
--- a/tests/catalogue/store_test.cpp
+++ b/tests/catalogue/store_test.cpp
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <filesystem>
+#include <set>
 
 #include "base/base.h"
 #include "catalogue/client.h"
@@ -86,6 +87,43 @@
   EXPECT_EQ(store.size().redirects, 1u) << "shard 2, its default 3";
 }
 
+// Page after page every object comes once, long names too, whatever the pages' length; what comes and goes in
+// between costs none of the others.
+TEST(Store, AWalkMeetsEveryObjectOnce) {
+  Folder folder;
+  Store store(folder.path, 4 << 20);
+  std::set<std::string> names;
+  for (int i = 0; i < 60; ++i)
+    names.insert("o" + std::to_string(i) + (i % 7 == 0 ? std::string(600, 'n') : std::string()));
+  std::uint64_t serial = 0;
+  for (const std::string& n : names) store.gather(put(n, ++serial));
+  std::string why;
+  store.commit(why);
+  for (const int most : {1, 7, 60, 100}) {
+    std::set<std::string> seen;
+    std::string volume, name;
+    for (bool end = false; !end;) {
+      std::vector<wire::Walked::Entry> page;
+      end = store.walk(volume, name, most, page);
+      ASSERT_TRUE(end || static_cast<int>(page.size()) == most);
+      for (const auto& e : page) {
+        EXPECT_EQ(e.volume, "v");
+        EXPECT_EQ(e.object.extents.size(), 1u);
+        EXPECT_TRUE(seen.insert(e.name).second) << e.name;
+        volume = e.volume, name = e.name;
+      }
+    }
+    EXPECT_EQ(seen, names) << most;
+  }
+  std::vector<wire::Walked::Entry> first, rest;
+  store.walk("", "", 5, first);
+  wire::Alter drop = put(first.back().name, 0);
+  drop.change = wire::Change::drop;
+  one(store, drop);
+  EXPECT_TRUE(store.walk("v", first.back().name, 100, rest));
+  EXPECT_EQ(rest.size(), names.size() - 5);
+}
+
 TEST(Store, LongNamesAreToldApart) {
   Folder folder;
   Store store(folder.path, 4 << 20);
--- a/tests/head/head_test.cpp
+++ b/tests/head/head_test.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <future>
 #include <map>
+#include <set>
 #include <thread>
 
 #include "catalogue/server.h"
@@ -85,11 +86,15 @@
   std::unique_ptr<head::Daemon> daemon;
   std::uint16_t port = 0;
 
-  bool with_plan = false;
+  bool with_plan = false, with_scrub = false;
   int at_node[2] = {0, 0};  // writes
 
   json settings_json() {
     json all = plain_settings();
+    if (with_scrub) {
+      all["scrub"] = {{"group", "tidy"},         {"plan", "basic"}, {"units_a_second", 400},
+                      {"pause_between_ms", 100}, {"rest_ms", 20},   {"cursor", folder + "/scrub.json"}};
+    }
     if (with_plan) all["plan"] = {{"file", folder + "/plan.json"}, {"held", folder + "/plan.held.json"}};
     return all;
   }
@@ -403,6 +408,72 @@
   EXPECT_FALSE(has(http.get("/.yewmount/metrics"), "yewmount_damaged_total 0\n"));
 }
 
+// What rots at rest is found by the scrub alone, all of it and nothing else; what was written anew since is
+// no finding; the report tells which.
+TEST_F(Running, TheScrubFindsWhatRotsAndNothingElse) {
+  with_scrub = true;
+  start();
+  Http http(port);
+  for (int i = 0; i < 30; ++i) {
+    ASSERT_EQ(status(http.put("/v/o" + std::to_string(i), std::string(4000, 'r'))), 201);
+  }
+  std::promise<void> done;
+  int count = 0;
+  asio::post(side, [&] {
+    // Every tenth extent of all; the nodes' sums stay what they were.
+    instead = [&](Peer::Conn& c, const wire::Submit& s) {
+      if (s.kind != wire::Kind::read || s.extent.serial % 10 != 0) return false;
+      const std::string& whole = data[{s.extent.head, s.extent.serial}];
+      std::vector<std::uint64_t> sums;
+      sums::blocks(s.extent, whole, sums);
+      std::string out = whole.substr(s.offset, s.length);
+      out[0] ^= 1;
+      c.answer(s.id, s.no, out, wire::Outcome::ended, sums);
+      return true;
+    };
+    for (const auto& [key, text] : data) count += key.second % 10 == 0;
+    done.set_value();
+  });
+  done.get_future().get();
+  ASSERT_EQ(count, 3);
+  json report;
+  for (int tries = 0; tries < 100; ++tries) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    report = json::parse(body(http.get("/.yewmount/scrub")));
+    if (report.at("round").get<int>() >= 3) break;
+  }
+  ASSERT_GE(report.at("round").get<int>(), 3) << report;
+  std::set<std::string> found;
+  for (const json& f : report.at("found")) {
+    EXPECT_EQ(f.at("what"), "damaged");
+    found.insert(f.at("object"));
+  }
+  EXPECT_EQ(found.size(), 3u) << report;
+  EXPECT_EQ(report.at("objects_last_round"), 30);
+}
+
+// A head that starts again goes on where it was; a cursor that is damaged begins the round anew.
+TEST_F(Running, TheScrubsCursorOutlivesAStart) {
+  with_scrub = true;
+  const json cursor = {{"round", 7},   {"volume", "v"},        {"object", "o3"},
+                       {"objects", 4}, {"extents", 9},         {"damaged", 1},
+                       {"missing", 0}, {"last_objects", 1000}, {"began_wall_us", 5}};
+  ASSERT_EQ(write_file(folder + "/scrub.json", cursor.dump()), "");
+  start();
+  Http http(port);
+  const json report = json::parse(body(http.get("/.yewmount/scrub")));
+  EXPECT_GE(report.at("round").get<int>(), 7);
+}
+
+TEST_F(Running, ADamagedCursorBeginsTheRoundAnew) {
+  with_scrub = true;
+  ASSERT_EQ(write_file(folder + "/scrub.json", "{\"round\": 7, \"vol"), "");
+  start();
+  Http http(port);
+  const json report = json::parse(body(http.get("/.yewmount/scrub")));
+  EXPECT_LT(report.at("round").get<int>(), 7);
+}
+
 // Plans as fast as they come while clients write and read: each whole or not at all, every ask answered.
 TEST_F(Running, FiftyPlansInARowUnderLoadOneOfThemBroken) {
   with_plan = true;
