A walk's answer stays within a frame, whatever the objects' size

Fifty objects of thousands of extents would have made a frame longer than the catalogue's clients take: the scrubber would have cost heads their connection to the catalogue. A page ends at 8,192 extents; a test walks twelve objects of 4,095 each.

--- a/src/catalogue/store.cpp
+++ b/src/catalogue/store.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t kKeyBytes = 500;   // LMDB takes 511
 constexpr std::size_t kKeptBytes = 400;  // of a longer name; the rest is its hash
 constexpr std::size_t kFreedValue = 8;
+// Of one answer to a walk, at some 40 bytes each: a frame that is too long would cost the connection.
+constexpr std::size_t kMostWalkedExtents = 8192;
 
 struct Failed : std::runtime_error {
   Failed(const char* what, int code)
@@ -215,15 +217,17 @@
   Cursor cursor(txn, disk_->objects);
   const bool first = volume.empty() && name.empty();
   const std::string after = first ? std::string() : key_of(volume, name);
+  std::size_t extents = 0;
   MDB_val k = val(after), v;
   int code = mdb_cursor_get(cursor.at, &k, &v, first ? MDB_FIRST : MDB_SET_RANGE);
   if (code == MDB_SUCCESS && !first && view(k) == after) code = mdb_cursor_get(cursor.at, &k, &v, MDB_NEXT);
   for (; code == MDB_SUCCESS; code = mdb_cursor_get(cursor.at, &k, &v, MDB_NEXT)) {
-    if (static_cast<int>(out.size()) >= most) return false;
+    if (static_cast<int>(out.size()) >= most || extents >= kMostWalkedExtents) return false;
     wire::Walked::Entry& e = out.emplace_back();
     const std::string_view key = view(k);
     e.volume = key.substr(0, key.find('\0'));
     read_value(view(v), {}, e.object, &e.name);
+    extents += e.object.extents.size();
   }
   if (code != MDB_NOTFOUND) must("walk", code);
   return true;
--- a/tests/catalogue/store_test.cpp
+++ b/tests/catalogue/store_test.cpp
@@ -124,6 +124,34 @@
   EXPECT_EQ(rest.size(), names.size() - 5);
 }
 
+// Objects of many extents: a page stays within what a frame may hold, or the scrubber would cost heads their
+// connection to the catalogue.
+TEST(Store, AWalkOverLargeObjectsFitsAFrame) {
+  Folder folder;
+  Store store(folder.path, 64 << 20);
+  std::string why;
+  for (int i = 0; i < 12; ++i) {
+    wire::Alter a = put("big" + std::to_string(i), 1);
+    a.object.extents.clear();
+    for (std::uint64_t e = 0; e < 4095; ++e)
+      a.object.extents.push_back({{~0ull, ~0ull - e}, 8 << 20, 100000, 100000, ~0ull});
+    store.gather(a);
+    ASSERT_EQ(store.commit(why).at(0).changed, Changed::done) << why;
+  }
+  std::size_t seen = 0;
+  std::string volume, name;
+  for (bool end = false; !end;) {
+    wire::Walked page;
+    end = page.end = store.walk(volume, name, 200, page.entries);
+    std::string frame;
+    wire::put(frame, page);
+    ASSERT_LE(frame.size(), wire::kMetaBytes);
+    seen += page.entries.size();
+    volume = page.entries.back().volume, name = page.entries.back().name;
+  }
+  EXPECT_EQ(seen, 12u);
+}
+
 TEST(Store, LongNamesAreToldApart) {
   Folder folder;
   Store store(folder.path, 4 << 20);
