--- a/benchlink/link.cpp
+++ b/benchlink/link.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
 #include <cstdio>
 #include <istream>
 #include <ostream>
@@ -13,52 +12,16 @@
 namespace {
 
 using nlohmann::json;
+using provision::as;
+using provision::get;
+using provision::get_or;
+using provision::part;
+using provision::time_of;
+using provision::time_or;
+using provision::word;
 
 constexpr double kMicrosPerSecond = 1e6;
 
-const json& need(const json& fields, const char* name) {
-  auto it = fields.find(name);
-  if (it == fields.end() || it->is_null()) throw BadInput(std::string("missing field '") + name + "'");
-  return *it;
-}
-
-// Wrong types are named after the field, in one line, rather than in the library's words.
-template <class T>
-T as(const json& value, const char* name) {
-  bool fits;
-  if constexpr (std::is_same_v<T, bool>)
-    fits = value.is_boolean();
-  else if constexpr (std::is_arithmetic_v<T>)
-    fits = std::is_integral_v<T> ? value.is_number_integer() : value.is_number();
-  else
-    fits = value.is_string();
-  if (!fits) throw BadInput(std::string("field '") + name + "' is of the wrong type");
-  return value.get<T>();
-}
-
-template <class T>
-T get(const json& fields, const char* name) {
-  return as<T>(need(fields, name), name);
-}
-
-template <class T>
-T get_or(const json& fields, const char* name, T otherwise) {
-  auto it = fields.find(name);
-  return it == fields.end() || it->is_null() ? otherwise : as<T>(*it, name);
-}
-
-const json& part(const json& fields, const char* name, json::value_t type) {
-  const json& value = need(fields, name);
-  if (value.type() != type) throw BadInput(std::string("field '") + name + "' is of the wrong type");
-  return value;
-}
-
-Micros micros(double seconds) { return std::llround(seconds * kMicrosPerSecond); }
-Micros time_of(const json& fields, const char* name) { return micros(get<double>(fields, name)); }
-Micros time_or(const json& fields, const char* name, Micros otherwise) {
-  auto it = fields.find(name);
-  return it == fields.end() || it->is_null() ? otherwise : micros(as<double>(*it, name));
-}
 double seconds(Micros t) { return static_cast<double>(t) / kMicrosPerSecond; }
 
 std::uint64_t ticket(const json& fields) {
@@ -76,13 +39,6 @@
   return text;
 }
 
-template <class T, std::size_t N>
-T word(const std::string& text, const std::pair<const char*, T> (&words)[N], const char* what) {
-  for (const auto& [name, value] : words)
-    if (text == name) return value;
-  throw BadInput("unknown " + std::string(what) + " '" + text + "'");
-}
-
 Result result(const json& fields) {
   static constexpr std::pair<const char*, Result> words[] = {{"served", Result::ended},
                                                              {"server_error", Result::error},
@@ -95,48 +51,8 @@
   return word(get<std::string>(fields, "rc"), words, "result");
 }
 
-IoGroup io_group(const json& c) {
-  static constexpr std::pair<const char*, Repeat> repeats[] = {{"read_like", Repeat::idempotent},
-                                                               {"idempotency_key", Repeat::fingerprinted},
-                                                               {"non_idempotent", Repeat::side_effecting}};
-  static constexpr std::pair<const char*, Scope> scopes[] = {
-      {"all", Scope::all}, {"zone", Scope::zone}, {"cell", Scope::cell}};
-  return {.latency_goal = time_of(c, "objective-s"),
-          .hard_limit = time_of(c, "deadline-s"),
-          .memory_span = time_or(c, "memory-span-s", 0),
-          .goal_stretch = get_or<double>(c, "aim-stretch", 0),
-          .gain = get<double>(c, "credit"),
-          .late_part = get_or<double>(c, "late-worth", 0),
-          .repeat = word(get<std::string>(c, "idempotency"), repeats, "idempotency"),
-          .scope = word(get_or<std::string>(c, "key-scope", "all"), scopes, "key-scope"),
-          .streams = get_or<bool>(c, "stream", false),
-          .keeps_order = get_or<bool>(c, "keep-order", false)};
-}
-
-Plan plan(const json& p) {
-  return {.limit = get_or<double>(p, "cap", 0),
-          .burst = get_or<double>(p, "burst", 0),
-          .slack = get_or<double>(p, "slack", 0),
-          .nominal = get<double>(p, "nominal"),
-          .reserve = get_or<double>(p, "reservation", 0),
-          .weight = get_or<double>(p, "parts", 1),
-          .gain_factor = get_or<double>(p, "worth-factor", 1)};
-}
-
 }  // namespace
 
-int Names::index(const std::string& name) {
-  auto [it, fresh] = indices_.try_emplace(name, static_cast<int>(names_.size()));
-  if (fresh) names_.push_back(name);
-  return it->second;
-}
-
-int Names::known(const std::string& name) const {
-  auto it = indices_.find(name);
-  if (it == indices_.end()) throw BadInput("unknown name '" + name + "'");
-  return it->second;
-}
-
 Seat::Seat(std::string inst) : inst_(std::move(inst)) {}
 
 // What the module throws is told as the wire provides; what the wire got wrong goes on up.
@@ -152,55 +68,10 @@
 }
 
 void Seat::power_on(const json& fields, Micros now) {
-  nodes_ = volumes_ = groups_ = plans_ = zones_ = Names();
-  const json& conf = part(fields, "conf", json::value_t::object);
-  const json& info = part(conf, "family-info", json::value_t::object);
-  const json& limits = part(conf, "limits", json::value_t::object);
-  const json& rules = part(conf, "rules", json::value_t::object);
-  const json& report = part(conf, "report", json::value_t::object);
-  const std::string sizes = get_or<std::string>(conf, "weights", "silent");
-  Provisioning given{.seed = get<std::uint64_t>(fields, "random-seed"),
-                     .heads = get<int>(conf, "balancers"),
-                     .own_number = get<int>(conf, "rank"),
-                     .groups = {},
-                     .plans = {},
-                     .cold_bears = get<double>(info, "cold-bears"),
-                     .usual_units = get<double>(info, "usual-units"),
-                     .most_units = get<double>(info, "most-units"),
-                     .share_gain = get<double>(info, "share-worth"),
-                     .beyond_gain = get<double>(info, "beyond-share"),
-                     .meter_period = time_or(info, "meter-s", 0),
-                     .tells_elsewhere = get_or<bool>(info, "tells-elsewhere", false),
-                     .list_asked = get<std::string>(conf, "registry-mode") == "ask",
-                     .sizes_told = sizes == "nominal" || sizes == "rough",
-                     .may_copy = get<bool>(limits, "may-duplicate"),
-                     .may_cancel = get<bool>(limits, "cancel"),
-                     .may_probe = get<bool>(limits, "probes"),
-                     .takes_advice = get<bool>(limits, "retry-after"),
-                     .most_submits = get<int>(limits, "max-attempts"),
-                     .longest_advice = time_or(limits, "max-retry-after-s", 0),
-                     .answer_slack = time_of(rules, "answer-slack-s"),
-                     .ask_every = time_or(rules, "ask-every-s", -1),
-                     .cold_from = get<double>(rules, "cold-from"),
-                     .fall_multiple = get<double>(rules, "fall-multiple"),
-                     .warm_within = time_of(rules, "warm-within-s"),
-                     .overload_for = time_of(rules, "overload-for-s"),
-                     .turn_rest = time_or(rules, "turn-gap-s", -1),
-                     .budget_spare = get_or<double>(rules, "spare-attempts", -1),
-                     .budget_share = get_or<double>(rules, "budget-share", -1),
-                     .budget_span = time_or(rules, "budget-span-s", -1)};
-  for (const json& c : part(conf, "classes", json::value_t::array)) {
-    groups_.index(get<std::string>(c, "name"));
-    given.groups.push_back(io_group(c));
-  }
-  for (const json& p : part(conf, "plans", json::value_t::array)) {
-    plans_.index(get<std::string>(p, "name"));
-    given.plans.push_back(plan(p));
-  }
-  report_fields_.clear();
-  if (auto it = report.find("fields"); it != report.end() && it->is_array())
-    for (const json& f : *it) report_fields_.push_back(as<std::string>(f, "fields"));
-  guarded([&] { head_ = std::make_unique<Head>(given, *this, now); });
+  nodes_ = volumes_ = zones_ = Names();
+  given_ =
+      provision::read(part(fields, "conf", json::value_t::object), get<std::uint64_t>(fields, "random-seed"));
+  guarded([&] { head_ = std::make_unique<Head>(given_.head, *this, now); });
 }
 
 // What a head said earlier in the batch of its death would speak of block I/Os that the wire has forgotten.
@@ -254,8 +125,8 @@
   head_->take({.id = ticket(fields),
                .object = object.empty() ? 0 : stable_hash(object),
                .give_up_at = time_of(fields, "give-up-at-s"),
-               .group = groups_.known(get<std::string>(fields, "class")),
-               .plan = plans_.known(get<std::string>(fields, "policy-no")),
+               .group = given_.groups.known(get<std::string>(fields, "class")),
+               .plan = given_.plans.known(get<std::string>(fields, "policy-no")),
                .volume = volumes_.index(get<std::string>(fields, "owner")),
                .shard = static_cast<int>(get<double>(fields, "placement")),
                .units = static_cast<int>(get<double>(fields, "size-units")),
@@ -313,14 +184,8 @@
   LoadReport told;
   auto row = fields.find("report");
   if (row == fields.end() || !row->is_array()) return told;
-  for (std::size_t i = 0; i < row->size() && i < report_fields_.size(); ++i) {
-    if (!(*row)[i].is_number()) continue;
-    const double value = (*row)[i].get<double>();
-    if (report_fields_[i] == "outstanding") told.outstanding = value;
-    if (report_fields_[i] == "backlog") told.backlog = value;
-    if (report_fields_[i] == "utilization") told.utilization = value;
-    if (report_fields_[i] == "recent_ms") told.recent = micros(value / 1000);
-  }
+  for (std::size_t i = 0; i < row->size() && i < given_.report_fields.size(); ++i)
+    if ((*row)[i].is_number()) provision::put_load(told, given_.report_fields[i], (*row)[i].get<double>());
   return told;
 }
 
--- a/benchlink/link.h
+++ b/benchlink/link.h
@@ -5,31 +5,18 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
-#include <stdexcept>
 #include <string>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "provision/provision.h"
 #include "rules.h"
 
 namespace yewmount::benchlink {
 
-struct BadInput : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
-// Names to small indices in order of first sight; one per instance, so that instances share nothing.
-class Names {
- public:
-  int index(const std::string& name);
-  int known(const std::string& name) const;
-  const std::string& name(int index) const { return names_[index]; }
-
- private:
-  std::unordered_map<std::string, int> indices_;
-  std::vector<std::string> names_;
-};
+using provision::BadInput;
+using provision::Names;
 
 // One head as the wire sees it: its module, its own tables of names, its lines of the reply.
 class Seat : public Surroundings {
@@ -65,8 +52,8 @@
   std::string inst_;
   std::string reply_;
   std::unique_ptr<Head> head_;
-  Names nodes_, volumes_, groups_, plans_, zones_;
-  std::vector<std::string> report_fields_;
+  Names nodes_, volumes_, zones_;
+  provision::Platform given_;
 };
 
 class Link {
--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -22,7 +22,7 @@
 yewmount_package(wire SOURCES src/wire/wire.cpp)
 yewmount_package(background SOURCES src/background/background.cpp)
 yewmount_package(sums SOURCES src/sums/sums.cpp USES yewmount_wire)
-yewmount_package(net SOURCES src/net/link.cpp USES yewmount_wire Threads::Threads)
+yewmount_package(net SOURCES src/net/stream.cpp src/net/link.cpp USES yewmount_wire Threads::Threads)
 yewmount_package(settings SOURCES src/settings/checked.cpp src/settings/head.cpp ${schemas}
                  USES yewmount_base yewmount_rules)
 yewmount_package(solver SOURCES src/solver/model.cpp src/solver/exact.cpp src/solver/solve.cpp src/solver/clash.cpp
@@ -38,6 +38,15 @@
                  USES yewmount_carrier yewmount_list yewmount_catalogue yewmount_door yewmount_settings yewmount_plans
                  yewmount_sums yewmount_background)
 
+# The platform's protocol: one more way in and out.
+yewmount_package(resp SOURCES src/resp/resp.cpp)
+yewmount_package(callers SOURCES src/callers/callers.cpp USES yewmount_net yewmount_resp yewmount_base)
+yewmount_package(nodes SOURCES src/nodes/nodes.cpp
+                 USES yewmount_net yewmount_resp yewmount_base yewmount_provision)
+yewmount_package(members SOURCES src/members/members.cpp
+                 USES yewmount_net yewmount_base yewmount_provision http_parser)
+yewmount_package(relay SOURCES src/relay/relay.cpp USES yewmount_callers yewmount_nodes yewmount_members)
+
 function(yewmount_program name)
   cmake_parse_arguments(P "" "" "SOURCES;USES" ${ARGN})
   add_executable(${name} ${P_SOURCES})
@@ -45,7 +54,7 @@
   set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
 endfunction()
 
-yewmount_program(yewmountd SOURCES src/head/main.cpp USES yewmount_head)
+yewmount_program(yewmountd SOURCES src/head/main.cpp USES yewmount_head yewmount_relay)
 yewmount_program(yewmount-catalogue SOURCES src/catalogue/main.cpp USES yewmount_catalogue)
 
 # Stand-ins for what the program talks to; none of them is part of it.
--- /dev/null
+++ b/src/callers/callers.h
@@ -0,0 +1,75 @@
+// The connections of clients: commands in, answers out in the order of the commands. It knows nothing of what
+// a command means; what can't be read gets an error line and a close, and everything that waits has a bound.
+#pragma once
+#include <asio.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "net/link.h"
+#include "net/stream.h"
+#include "resp/resp.h"
+#include "rules/slab.h"
+
+namespace yewmount::callers {
+
+using Micros = std::int64_t;
+
+// Which command an answer is for.
+struct Caller {
+  int session = -1;
+  std::uint64_t token = 0, turn = 0;
+};
+
+class Service {
+ public:
+  virtual ~Service() = default;
+  // To be answered with Callers::answer, at once or later. The views are good during the call only.
+  virtual void asked(const Caller& caller, const resp::Command& command) = 0;
+  // The client has gone: this command needs no answer.
+  virtual void left(const Caller& caller) = 0;
+};
+
+struct Counts {
+  std::uint64_t accepted = 0, closed = 0, unread = 0, silent = 0, evicted = 0, turned_back = 0, stalled = 0,
+                thrown = 0;
+};
+
+class Callers {
+ public:
+  Callers(asio::io_context& io, const asio::ip::tcp::endpoint& at, std::size_t most, Service& service);
+  ~Callers();
+
+  std::uint16_t port() const { return listener_.port(); }
+  void answer(const Caller& caller, std::string_view bytes);
+  void error(const Caller& caller, std::string_view why);  // one error line; the connection stays
+
+  void deliver(Micros now);  // commands that had to wait for room
+  void flush();
+  void sweep(Micros now);  // now and then: closes what takes too long
+  void stop_listening() { listener_.finish(); }
+  void close_idle();  // between commands
+  std::size_t clients() const { return live_.size(); }
+  const Counts& counts() const { return counts_; }
+
+ private:
+  class Session;
+  void taken(asio::ip::tcp::socket socket);
+  bool make_room(Micros now);
+  void drop(int session);
+  Session* find(const Caller& caller);
+
+  asio::io_context& io_;
+  const std::size_t most_;
+  Service& service_;
+  Slab<std::shared_ptr<Session>> sessions_;
+  DensePlaces live_;
+  std::vector<Caller> dirty_, flushing_, waiting_, resuming_;
+  std::uint64_t last_token_ = 0;
+  Counts counts_;
+  net::Listener listener_;
+};
+
+}  // namespace yewmount::callers
--- a/src/catalogue/server.cpp
+++ b/src/catalogue/server.cpp
@@ -48,7 +48,7 @@
       wire::Alter change;
       wire::get(frame, change);
       store_.gather(change);
-      waiting_.push_back({link.weak_from_this(), change.call});
+      waiting_.push_back({std::static_pointer_cast<net::Link>(link.shared_from_this()), change.call});
       return;
     }
     default:
--- a/src/head/main.cpp
+++ b/src/head/main.cpp
@@ -1,55 +1,111 @@
-// yewmountd: one head, one process.
+// yewmountd: one head, one process. With --settings it serves by its own door and wire; `yewmountd relay`
+// serves the operators' platform by theirs.
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 #include "base/base.h"
 #include "head/daemon.h"
+#include "relay/relay.h"
 #include "settings/checked.h"
 
+namespace {
+
+using namespace yewmount;
+
+// Each signal that comes is handed on; the handler stands from now on.
+class Signals {
+ public:
+  Signals(asio::io_context& io, std::function<void(int)> told)
+      : signals_(io, SIGTERM, SIGINT, SIGHUP), told_(std::move(told)) {
+    std::signal(SIGPIPE, SIG_IGN);
+    wait();
+  }
+
+ private:
+  void wait() {
+    signals_.async_wait([this](std::error_code error, int signal) {
+      if (error) return;
+      told_(signal);
+      wait();
+    });
+  }
+  asio::signal_set signals_;
+  std::function<void(int)> told_;
+};
+
+int serve(const std::string& file) {
+  settings::HeadProvision given = settings::load_head(file);
+  logs::start("yewmountd", given.name);
+  logs::level(given.log_level);
+  asio::io_context io(1);
+  const std::string name = given.name;
+  std::unique_ptr<head::Daemon> daemon;
+  Signals signals(io, [&](int signal) {
+    if (signal != SIGHUP) return daemon->drain();
+    try {
+      const std::string why = daemon->reload(settings::load_head(file));
+      if (why.empty())
+        logs::info("settings taken", {{"file", file}});
+      else
+        logs::error("settings turned down", {{"file", file}, {"why", why}});
+    } catch (const std::exception& e) {
+      logs::error("settings turned down", {{"why", e.what()}});
+    }
+    daemon->take_plan();
+  });
+  daemon = std::make_unique<head::Daemon>(io, std::move(given));
+  logs::info("serving", {{"port", daemon->port()}});
+  std::cout << nlohmann::json{{"ready", true}, {"name", name}, {"port", daemon->port()}}.dump() << std::endl;
+  daemon->run();
+  const head::Counts& c = daemon->counts();
+  logs::info("drained", {{"taken", c.taken}, {"ended", c.ended}, {"shed", c.shed}, {"failed", c.failed}});
+  return 0;
+}
+
+int serve_platform(const std::string& file, const std::string& level) {
+  logs::start("yewmountd", "");
+  asio::io_context io(1);
+  std::unique_ptr<relay::Relay> relay;
+  Signals signals(io, [&](int signal) {
+    if (signal != SIGHUP) return relay->drain();
+    try {
+      const relay::Deployment given = relay::load(file);
+      relay->reload(given);
+      logs::info("settings taken", {{"list", given.members.address().to_string()}});
+    } catch (const std::exception& e) {
+      logs::error("settings turned down", {{"why", e.what()}});
+    }
+  });
+  relay::Deployment given = relay::load(file);
+  logs::start("yewmountd", given.name);
+  logs::level(level);
+  relay = std::make_unique<relay::Relay>(io, std::move(given));
+  relay->trace(level == "debug");
+  logs::info("serving", {{"port", relay->port()}});
+  relay->run();
+  logs::info("drained", relay->report());
+  return 0;
+}
+
+}  // namespace
+
 int main(int argc, char** argv) {
-  using namespace yewmount;
   CLI::App app{"yewmountd: one head of the storage gateway"};
-  std::string file;
-  app.add_option("--settings", file, "JSON settings of this head (schema/head.json)")->required();
+  std::string file, config, level = "info";
+  app.add_option("--settings", file, "JSON settings of this head (schema/head.json)");
+  CLI::App* platform = app.add_subcommand("relay", "one head on the operators' platform, speaking RESP2");
+  platform->add_option("--config", config, "what the platform hands this head, as JSON")
+      ->envname("RELAY_CONFIG")
+      ->required();
+  platform->add_option("--log-level", level, "debug traces every submit")
+      ->check(CLI::IsMember({"debug", "info", "warn", "error"}));
   CLI11_PARSE(app, argc, argv);
   try {
-    settings::HeadProvision given = settings::load_head(file);
-    logs::start("yewmountd", given.name);
-    logs::level(given.log_level);
-    asio::io_context io(1);
-    asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
-    std::signal(SIGPIPE, SIG_IGN);
-    const std::string name = given.name;
-    head::Daemon daemon(io, std::move(given));
-    std::function<void()> wait = [&] {
-      signals.async_wait([&](std::error_code error, int signal) {
-        if (error) return;
-        if (signal == SIGHUP) {
-          try {
-            const std::string why = daemon.reload(settings::load_head(file));
-            if (why.empty())
-              logs::info("settings taken", {{"file", file}});
-            else
-              logs::error("settings turned down", {{"file", file}, {"why", why}});
-            daemon.take_plan();
-          } catch (const std::exception& e) {
-            logs::error("settings turned down", {{"why", e.what()}});
-            daemon.take_plan();
-          }
-        } else {
-          daemon.drain();
-        }
-        wait();
-      });
-    };
-    wait();
-    logs::info("serving", {{"port", daemon.port()}});
-    std::cout << nlohmann::json{{"ready", true}, {"name", name}, {"port", daemon.port()}}.dump() << std::endl;
-    daemon.run();
-    const head::Counts& c = daemon.counts();
-    logs::info("drained", {{"taken", c.taken}, {"ended", c.ended}, {"shed", c.shed}, {"failed", c.failed}});
-    return 0;
+    if (platform->parsed()) return serve_platform(config, level);
+    if (file.empty()) throw std::runtime_error("--settings is required, or a sub-command");
+    return serve(file);
   } catch (const std::exception& e) {
     std::cerr << "yewmountd: " << e.what() << std::endl;
     return 2;
--- /dev/null
+++ b/src/members/members.cpp
@@ -0,0 +1,272 @@
+#include "members/members.h"
+
+#include <charconv>
+
+#include "base/base.h"
+
+namespace yewmount::members {
+namespace {
+
+using nlohmann::json;
+using provision::BadInput;
+using provision::get;
+using provision::get_or;
+
+constexpr Micros kHold = 2'000'000;    // a watch waits so long for news
+constexpr Micros kPatience = 500'000;  // beyond that, for the answer
+constexpr Micros kAgain = 100'000;     // after a call that failed
+constexpr Micros kBehind = 5'000'000;  // older lists for longer are believed
+constexpr std::size_t kMostBody = 4 << 20;
+
+}  // namespace
+
+asio::ip::tcp::endpoint endpoint(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  std::error_code error;
+  const auto address = asio::ip::make_address(text.substr(0, colon == std::string::npos ? 0 : colon), error);
+  unsigned port = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, wrong] =
+      std::from_chars(text.data() + (colon == std::string::npos ? text.size() : colon + 1), end, port);
+  if (error || wrong != std::errc() || stop != end || port < 1 || port > 65535)
+    throw BadInput("'" + text + "' is not an address with a port");
+  return {address, static_cast<std::uint16_t>(port)};
+}
+
+// One connection to the service: an HTTP answer cut out of the bytes.
+class Members::Call : public net::Stream {
+ public:
+  Call(asio::ip::tcp::socket socket, Members& owner) : Stream(std::move(socket)), owner_(owner) {
+    http_parser_init(&parser_, HTTP_RESPONSE);
+    parser_.data = this;
+  }
+
+ private:
+  static const http_parser_settings* settings() {
+    static const http_parser_settings all = [] {
+      http_parser_settings s;
+      http_parser_settings_init(&s);
+      s.on_body = [](http_parser* p, const char* at, size_t length) {
+        Call& call = *static_cast<Call*>(p->data);
+        call.body_.append(at, length);
+        return call.body_.size() > kMostBody ? 1 : 0;
+      };
+      s.on_message_complete = [](http_parser* p) {
+        Call& call = *static_cast<Call*>(p->data);
+        if (p->status_code / 100 == 1) return 0;  // goes ahead of the answer
+        call.done_ = true;
+        call.good_ = p->status_code == 200;
+        call.keep_ = http_should_keep_alive(p) != 0;
+        http_parser_pause(p, 1);
+        return 0;
+      };
+      return s;
+    }();
+    return &all;
+  }
+
+  std::span<char> room() override { return net::shared_room(); }
+  void lost(const std::error_code& why) override { owner_.failed(why.message()); }
+
+  void came(std::size_t bytes) override {
+    const auto self = shared_from_this();
+    const std::size_t used = http_parser_execute(&parser_, settings(), net::shared_room().data(), bytes);
+    if (!done_) {
+      if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK)
+        owner_.failed(http_errno_description(HTTP_PARSER_ERRNO(&parser_)));
+      return;
+    }
+    http_parser_pause(&parser_, 0);
+    // The parser stops on the last byte of the answer; what lies behind it belongs to no call.
+    const bool clean = used + 1 >= bytes && keep_;
+    done_ = false;
+    const std::string body = std::exchange(body_, {});
+    if (!clean) http_parser_init(&parser_, HTTP_RESPONSE);
+    owner_.answered(body, good_);
+    if (!clean && open() && owner_.call_.get() == this) owner_.failed("the connection is of no further use");
+  }
+
+  Members& owner_;
+  http_parser parser_;
+  std::string body_;
+  bool done_ = false, good_ = false, keep_ = false;
+};
+
+Members::Members(asio::io_context& io, Told& told)
+    : io_(io), told_(told), unix_epoch_(wall_now() - monotonic_now()) {}
+
+Members::~Members() {
+  *alive_ = false;
+  if (call_) call_->close();
+}
+
+int Members::index_of(const std::string& name) {
+  if (const auto it = indices_.find(name); it != indices_.end()) return it->second;
+  int at = static_cast<int>(nodes_.size());
+  if (free_.empty()) {
+    nodes_.emplace_back();
+  } else {
+    at = free_.back();
+    free_.pop_back();
+  }
+  nodes_[at] = Known{};
+  nodes_[at].name = name;
+  nodes_[at].used = true;
+  indices_[name] = at;
+  return at;
+}
+
+void Members::know(const json& list) {
+  take(ListKind::cached, list);
+  whole_ = true;
+}
+
+// All of it is read before any of it counts: half a list is none.
+void Members::take(ListKind kind, const json& list) {
+  struct Read {
+    std::string name;
+    Known known;
+  };
+  std::vector<Read> read;
+  for (const json& e : provision::part(list, "servers", json::value_t::array)) {
+    if (!e.is_object()) throw BadInput("a node is an object");
+    Read r{get<std::string>(e, "id"), {}};
+    const std::string state = get<std::string>(e, "state");
+    r.known.state =
+        provision::word(state,
+                        {std::pair{"Ready", NodeState::ready}, std::pair{"Terminating", NodeState::draining},
+                         std::pair{"Gone", NodeState::gone}},
+                        "state");
+    if (r.known.state != NodeState::gone) r.known.at = endpoint(get<std::string>(e, "addr"));
+    r.known.zone = get_or<std::string>(e, "zone", "");
+    r.known.shard = get_or<int>(e, "cell", -1);
+    r.known.share = get_or<double>(e, "weight", 1);
+    r.known.started = static_cast<Micros>(get_or<double>(e, "started_ms", 0)) * 1000;
+    read.push_back(std::move(r));
+  }
+  const std::int64_t version = get<std::int64_t>(list, "version");
+  // Guards against a service that has fallen behind: the newer list stands. One that stays behind has begun
+  // its count anew.
+  if (kind != ListKind::cached && version < version_) {
+    ++counts_.older;
+    const Micros now = monotonic_now();
+    if (older_since_ == 0) older_since_ = now;
+    if (kind == ListKind::delta || now - older_since_ < kBehind)
+      throw BadInput("older than the list that stands");
+  }
+  older_since_ = 0;
+  version_ = version;
+  ++counts_.lists;
+  if (kind != ListKind::delta)
+    for (Known& n : nodes_) n.state = NodeState::gone;
+  std::vector<NodeEntry> entries;
+  for (Read& r : read) {
+    const int at = index_of(r.name);
+    Known& n = nodes_[at];
+    const Micros up_since = r.known.started <= 0 ? 0
+                            : n.started == r.known.started
+                                ? n.up_since
+                                : std::max<Micros>(1, r.known.started - unix_epoch_);
+    n = std::move(r.known);
+    n.name = std::move(r.name);
+    n.used = true;
+    n.up_since = up_since;
+    entries.push_back({.node = at,
+                       .name = n.name,
+                       .state = n.state,
+                       .shard = n.shard,
+                       .zone = zones_.index(n.zone),
+                       .share = n.share,
+                       .up_since = n.up_since});
+  }
+  told_.listed(kind, entries);
+}
+
+void Members::follow(const asio::ip::tcp::endpoint& at) {
+  if (following_ && at == at_) return;
+  at_ = at;
+  following_ = true;
+  whole_ = true;
+  again_at_ = 0;
+  if (call_) call_->close();
+  call_.reset();
+  socket_.reset();
+  waiting_ = false;
+  call();
+}
+
+void Members::call() {
+  called_ = monotonic_now();
+  if (call_) {
+    ++counts_.calls;
+    waiting_ = true;
+    call_->out() += "GET /catalog/members";
+    if (!whole_) {
+      call_->out() += "?from=" + std::to_string(version_);
+      call_->out() += "&hold_ms=" + std::to_string(kHold / 1000);
+    }
+    call_->out() += " HTTP/1.1\r\nHost: members\r\n\r\n";
+    call_->flush();
+    return;
+  }
+  socket_ = std::make_shared<asio::ip::tcp::socket>(io_);
+  socket_->async_connect(at_, [this, socket = socket_, alive = alive_](std::error_code error) {
+    if (!*alive || socket_ != socket) return;
+    socket_.reset();
+    if (error) return failed(error.message());
+    call_ = std::make_shared<Call>(std::move(*socket), *this);
+    call_->start();
+    call();
+  });
+}
+
+void Members::failed(const std::string& why) {
+  ++counts_.failures;
+  logs::debug("list of nodes away", {{"why", why}});
+  if (call_) call_->close();
+  call_.reset();
+  socket_.reset();
+  waiting_ = false;
+  again_at_ = monotonic_now() + kAgain;
+  told_.listed(ListKind::failed, {});
+}
+
+void Members::answered(const std::string& body, bool good) {
+  waiting_ = false;
+  try {
+    if (!good) throw BadInput("not the answer looked for");
+    const json list = json::parse(body);
+    if (!list.is_object()) throw BadInput("a list is an object");
+    const bool full = get<bool>(list, "full");
+    if (whole_ && !full) throw BadInput("changes where the whole list was asked for");
+    take(full ? ListKind::full : ListKind::delta, list);
+    whole_ = false;
+  } catch (const std::exception& e) {
+    return failed(e.what());
+  }
+  call();
+}
+
+// Guards against calls that are never answered, on connections that lead nowhere or to a service that is
+// down.
+void Members::check(Micros now) {
+  if (!following_) return;
+  if (again_at_ > 0 && now >= again_at_) {
+    again_at_ = 0;
+    return call();
+  }
+  if (again_at_ == 0 && now - called_ > (waiting_ && !whole_ ? kHold : 0) + kPatience)
+    failed("no answer in time");
+}
+
+void Members::tidy() {
+  for (int at = 0; at < static_cast<int>(nodes_.size()); ++at) {
+    Known& n = nodes_[at];
+    if (!n.used || n.state != NodeState::gone || !told_.may_reuse(at)) continue;
+    indices_.erase(n.name);
+    n = Known{};
+    free_.push_back(at);
+  }
+}
+
+}  // namespace yewmount::members
--- /dev/null
+++ b/src/members/members.h
@@ -0,0 +1,93 @@
+// Follows the platform's list of nodes over HTTP/1.1: the whole list, then watches that follow each other at
+// once. Hands out small indices for nodes and takes them back. What can't be read changes nothing: the last
+// list stands and the call is made again.
+#pragma once
+#include <http_parser.h>
+
+#include <asio.hpp>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "net/stream.h"
+#include "provision/provision.h"
+#include "rules/rules.h"
+
+namespace yewmount::members {
+
+struct Known {
+  std::string name, zone;
+  asio::ip::tcp::endpoint at;
+  int shard = -1;
+  NodeState state = NodeState::gone;
+  double share = 1;
+  Micros started = 0;   // as told: Unix time; 0: long ago
+  Micros up_since = 0;  // the same on the loop's clock
+  bool used = false;    // this index stands for a node
+};
+
+class Told {
+ public:
+  virtual ~Told() = default;
+  // Each entry's node is as node(index) tells it. The names are good as long as the index is that node's.
+  virtual void listed(ListKind kind, std::span<const NodeEntry> entries) = 0;
+  virtual bool may_reuse(int node) = 0;
+};
+
+struct Counts {
+  std::uint64_t calls = 0, failures = 0, lists = 0, older = 0;
+};
+
+// "10.2.0.1:8500"; throws provision::BadInput.
+asio::ip::tcp::endpoint endpoint(const std::string& text);
+
+class Members {
+ public:
+  Members(asio::io_context& io, Told& told);
+  ~Members();
+
+  // The list that the head was started with, as ListKind::cached. Throws provision::BadInput.
+  void know(const nlohmann::json& list);
+  // From now on there; a whole list first, since what changed meanwhile is not known.
+  void follow(const asio::ip::tcp::endpoint& at);
+  void check(Micros now);  // calls that take too long, calls to be made again
+  void tidy();             // takes back indices of nodes that are gone
+
+  const Known& node(int index) const { return nodes_[index]; }
+  int size() const { return static_cast<int>(nodes_.size()); }
+  std::size_t kept() const { return indices_.size(); }
+  std::int64_t version() const { return version_; }
+  const Counts& counts() const { return counts_; }
+
+ private:
+  class Call;
+  void call();
+  void failed(const std::string& why);
+  void came(std::string_view bytes);
+  void answered(const std::string& body, bool good);
+  void take(ListKind kind, const nlohmann::json& list);
+  int index_of(const std::string& name);
+
+  asio::io_context& io_;
+  Told& told_;
+  asio::ip::tcp::endpoint at_;
+  std::shared_ptr<Call> call_;                     // the connection, once it is up
+  std::shared_ptr<asio::ip::tcp::socket> socket_;  // while it comes up
+  bool following_ = false, waiting_ = false, whole_ = true;
+  Micros called_ = 0, again_at_ = 0, older_since_ = 0;
+  std::int64_t version_ = -1;
+  std::deque<Known> nodes_;
+  std::unordered_map<std::string, int> indices_;
+  provision::Names zones_;
+  std::vector<int> free_;
+  const Micros unix_epoch_;  // of the loop's clock, taken once: one start must not seem to move
+  Counts counts_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace yewmount::members
--- /dev/null
+++ b/src/net/stream.cpp
@@ -0,0 +1,117 @@
+#include "net/stream.h"
+
+#include <array>
+
+namespace yewmount::net {
+namespace {
+
+constexpr std::size_t kReadBytes = 64 << 10;
+
+}  // namespace
+
+std::span<char> shared_room() {
+  thread_local std::array<char, kReadBytes> room;
+  return room;
+}
+
+Stream::Stream(asio::ip::tcp::socket socket) : socket_(std::move(socket)) {
+  std::error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
+}
+
+void Stream::read() {
+  if (!open_ || reading_ || held_) return;
+  reading_ = true;
+  socket_.async_wait(asio::socket_base::wait_read, [self = shared_from_this()](std::error_code error) {
+    self->reading_ = false;
+    if (!self->open_ || self->held_) return;
+    std::size_t bytes = 0;
+    if (!error) {
+      const auto room = self->room();
+      bytes = self->socket_.read_some(asio::buffer(room.data(), room.size()), error);
+    }
+    if (error && error != asio::error::would_block) return self->broken(error);
+    if (bytes > 0) self->came(bytes);
+    self->read();
+  });
+}
+
+// Written without waiting, here and now: a write that completes later would leave a time in which the peer
+// has bytes that handed_ does not know of, and what it has read whole would be told as surely not run.
+void Stream::flush() {
+  if (!open_ || busy_) return;
+  while (at_ < out_.size()) {
+    std::error_code error;
+    const std::size_t n = socket_.write_some(asio::buffer(out_.data() + at_, out_.size() - at_), error);
+    at_ += n;
+    handed_ += n;
+    if (error == asio::error::would_block) {
+      busy_ = true;
+      socket_.async_wait(asio::socket_base::wait_write, [self = shared_from_this()](std::error_code failed) {
+        self->busy_ = false;
+        if (!self->open_) return;
+        if (failed) return self->broken(failed);
+        self->flush();
+      });
+      if (at_ > kReadBytes) out_.erase(0, at_), at_ = 0;
+      return;
+    }
+    if (error) {
+      // Not from within the owner's own call: it hears of it on a turn of its own.
+      asio::post(socket_.get_executor(), [self = shared_from_this(), error] { self->broken(error); });
+      return;
+    }
+  }
+  // What a burst needed is not kept by a connection that may stand idle for long.
+  if (out_.capacity() > kReadBytes) out_ = {};
+  out_.clear();
+  at_ = 0;
+  if (closing_) return close();
+  if (ending_) {
+    std::error_code ignored;
+    socket_.shutdown(asio::socket_base::shutdown_send, ignored);
+  }
+}
+
+void Stream::take_back(std::uint64_t begin, std::uint64_t end) {
+  if (begin < handed_ || end > appended() || begin > end) return;
+  out_.erase(at_ + (begin - handed_), end - begin);
+}
+
+void Stream::close() {
+  open_ = false;
+  std::error_code ignored;
+  socket_.close(ignored);
+}
+
+void Stream::close_after_flush() {
+  closing_ = true;
+  flush();
+}
+
+void Stream::end_sending() {
+  ending_ = true;
+  flush();
+}
+
+void Stream::hold_reading(bool held) {
+  held_ = held;
+  if (!held) read();
+}
+
+bool Stream::unread() const {
+  char byte;
+  const auto n =
+      ::recv(const_cast<asio::ip::tcp::socket&>(socket_).native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void Stream::broken(const std::error_code& why) {
+  if (!open_) return;
+  auto self = shared_from_this();
+  close();
+  lost(why);
+}
+
+}  // namespace yewmount::net
--- /dev/null
+++ b/src/net/stream.h
@@ -0,0 +1,55 @@
+// One connection that carries bytes: read as they come, written together once a turn of the loop. It knows
+// how many bytes the socket has taken, which tells what surely never left.
+#pragma once
+#include <asio.hpp>
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+
+namespace yewmount::net {
+
+class Stream : public std::enable_shared_from_this<Stream> {
+ public:
+  explicit Stream(asio::ip::tcp::socket socket);
+  virtual ~Stream() = default;
+  void start() { read(); }  // reads from now on
+
+  // Bytes are appended to out(); flush() hands over what the socket takes now, the rest when it takes more.
+  std::string& out() { return out_; }
+  void flush();
+  std::uint64_t appended() const { return handed_ + out_.size() - at_; }
+  std::size_t pending() const { return out_.size() - at_; }
+  // Bytes that the socket has taken so far, of all appended since the start; true at any moment.
+  std::uint64_t handed() const { return handed_; }
+  // Removes bytes that were appended and not handed over, all from `begin` (at least handed()) up to `end`.
+  void take_back(std::uint64_t begin, std::uint64_t end);
+
+  bool open() const { return open_; }
+  void close();                  // the owner hears nothing
+  void close_after_flush();      // what is pending goes out first
+  void end_sending();            // after what is pending; reading goes on
+  void hold_reading(bool held);  // takes nothing from the socket for a while
+  bool unread() const;           // whether the socket holds bytes, or an end, that nobody has read yet
+
+ protected:
+  // Where the next bytes go; asked for when some are there, so that idle connections need no room.
+  virtual std::span<char> room() = 0;
+  virtual void came(std::size_t bytes) = 0;  // so many bytes of the room; may close
+  virtual void lost(
+      const std::error_code& why) = 0;  // once, after the close, unless the owner closed it itself
+  void broken(const std::error_code& why);
+
+ private:
+  void read();
+  asio::ip::tcp::socket socket_;
+  std::string out_;
+  std::size_t at_ = 0;  // of out_: what has been handed over
+  std::uint64_t handed_ = 0;
+  bool open_ = true, busy_ = false, closing_ = false, ending_ = false, held_ = false, reading_ = false;
+};
+
+// Room that all connections of a thread share: what has been read is used or copied before the next read.
+std::span<char> shared_room();
+
+}  // namespace yewmount::net
--- /dev/null
+++ b/src/nodes/nodes.h
@@ -0,0 +1,131 @@
+// Submits to storage nodes over RESP2. Each ends exactly once, with an outcome made of two facts: the node's
+// own word, and whether its last byte went out; doubt counts as "may have run". It decides nothing: which
+// node, when, and for how long come from outside.
+//
+// One submit is out on a connection. Answers come in the order of the commands, so one behind another would
+// wait for it, and giving one up closes the connection under the others. Only where the descriptors are used
+// up does a submit go behind another.
+#pragma once
+#include <asio.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "net/stream.h"
+#include "resp/resp.h"
+#include "rules/rules.h"
+#include "rules/slab.h"
+
+namespace yewmount::nodes {
+
+struct Provision {
+  int streams = 1;              // submits out on one connection, at most
+  std::size_t connections = 1;  // to all nodes together
+  Micros connect_within = 0, idle = 0;
+};
+
+struct Ended {
+  std::uint64_t id;
+  int no, node;
+  Result result;
+  Micros lag;
+  int volume_use, from_others;
+  LoadReport report;
+  std::string_view value;  // good during the call only
+};
+
+class Told {
+ public:
+  virtual ~Told() = default;
+  virtual void submit_ended(const Ended& ended) = 0;
+};
+
+struct Counts {
+  std::uint64_t opened = 0, connections_lost = 0, spoilt = 0, strays = 0, doubled_up = 0, no_room = 0;
+};
+
+class Nodes {
+ public:
+  Nodes(asio::io_context& io, Provision given, Told& told);
+  ~Nodes();
+
+  // Where a node is now; another address or start lets go of what leads to the old one.
+  void node_at(int node, const std::string& name, const asio::ip::tcp::endpoint& at, Micros start);
+  // Takes back what was meant for a node that drains or is gone and has not begun to leave.
+  void recall(int node);
+  bool forget(int node);  // true once nothing is out there: the index may be another's
+
+  // Never calls Told from within: what fails at once is told by the next deliver().
+  void submit(std::uint64_t id, int no, int node, std::string_view command, Micros now, Micros try_for);
+  void cancel(std::uint64_t id, int no);
+  void deliver(Micros now);  // time-outs and what failed at once
+  void flush();
+  std::size_t connections() const { return live_lines_.size(); }
+  std::size_t out() const { return live_.size(); }
+  const Counts& counts() const { return counts_; }
+
+ private:
+  struct Line;  // one connection
+  class Wire;   // its bytes
+  struct Out {
+    std::uint64_t id = 0;
+    int no = 0, node = -1, line = -1;
+    std::uint64_t begin = 0, end = 0;  // its bytes among those appended to its connection
+    Micros at = 0, until = 0;
+    std::string command;  // until the connection is up
+  };
+  struct Line {
+    int node = -1;
+    bool reading = false, retired = false;          // retired: let go of once nothing is out on it
+    std::shared_ptr<asio::ip::tcp::socket> socket;  // while it connects
+    std::shared_ptr<Wire> wire;
+    std::vector<int> out;  // in the order of their commands; -1: given up, its answer is nobody's
+    Micros since = 0, answered = 0;
+    Micros begun = 0;  // when the first part of an answer came that isn't whole yet
+  };
+  struct Peer {
+    std::string name;
+    asio::ip::tcp::endpoint at;
+    Micros start = 0;
+    bool known = false;
+    std::vector<int> lines;
+  };
+  struct Soon {
+    int out;
+    std::uint64_t id;
+    int no;
+    Result result;
+  };
+
+  int line_for(int node, Micros now);
+  bool make_room();
+  void connect(int line);
+  void append(int out);
+  void came(int line, std::string_view bytes);
+  void answer(int line, const resp::Reply& reply);
+  void spoilt(int line, const char* why);
+  void gone(int line, const char* why);
+  void drop(int line);
+  void drop_idle(int node, Micros quiet_since);
+  void end(int out, Result result, Micros now, const resp::Reply* reply = nullptr);
+  void give_up(int out, Result result, Micros now);
+  bool take_back(int out);
+  void figures(std::string_view text, Ended& ended) const;
+
+  asio::io_context& io_;
+  const Provision given_;
+  Told& told_;
+  std::vector<Peer> peers_;
+  Slab<Line> lines_;
+  DensePlaces live_lines_;
+  Slab<Out> outs_;
+  DensePlaces live_;
+  std::vector<Soon> soon_, telling_;
+  std::vector<int> dirty_, work_;
+  Micros looked_ = 0;
+  Counts counts_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace yewmount::nodes
--- /dev/null
+++ b/src/provision/provision.cpp
@@ -0,0 +1,118 @@
+#include "provision/provision.h"
+
+namespace yewmount::provision {
+namespace {
+
+IoGroup io_group(const json& c) {
+  static constexpr std::pair<const char*, Repeat> repeats[] = {{"read_like", Repeat::idempotent},
+                                                               {"idempotency_key", Repeat::fingerprinted},
+                                                               {"non_idempotent", Repeat::side_effecting}};
+  static constexpr std::pair<const char*, Scope> scopes[] = {
+      {"all", Scope::all}, {"zone", Scope::zone}, {"cell", Scope::cell}};
+  return {.latency_goal = time_of(c, "objective-s"),
+          .hard_limit = time_of(c, "deadline-s"),
+          .memory_span = time_or(c, "memory-span-s", 0),
+          .goal_stretch = get_or<double>(c, "aim-stretch", 0),
+          .gain = get<double>(c, "credit"),
+          .late_part = get_or<double>(c, "late-worth", 0),
+          .repeat = word(get<std::string>(c, "idempotency"), repeats, "idempotency"),
+          .scope = word(get_or<std::string>(c, "key-scope", "all"), scopes, "key-scope"),
+          .streams = get_or<bool>(c, "stream", false),
+          .keeps_order = get_or<bool>(c, "keep-order", false)};
+}
+
+Plan plan(const json& p) {
+  return {.limit = get_or<double>(p, "cap", 0),
+          .burst = get_or<double>(p, "burst", 0),
+          .slack = get_or<double>(p, "slack", 0),
+          .nominal = get<double>(p, "nominal"),
+          .reserve = get_or<double>(p, "reservation", 0),
+          .weight = get_or<double>(p, "parts", 1),
+          .gain_factor = get_or<double>(p, "worth-factor", 1)};
+}
+
+}  // namespace
+
+int Names::index(const std::string& name) {
+  auto [it, fresh] = indices_.try_emplace(name, static_cast<int>(names_.size()));
+  if (fresh) names_.push_back(name);
+  return it->second;
+}
+
+int Names::known(const std::string& name) const {
+  auto it = indices_.find(name);
+  if (it == indices_.end()) throw BadInput("unknown name '" + name + "'");
+  return it->second;
+}
+
+int Names::find(std::string_view name) const {
+  for (std::size_t i = 0; i < names_.size(); ++i)
+    if (names_[i] == name) return static_cast<int>(i);
+  return -1;
+}
+
+Platform read(const json& conf, std::uint64_t seed) {
+  Platform all{};
+  const json& info = part(conf, "family-info", json::value_t::object);
+  const json& limits = part(conf, "limits", json::value_t::object);
+  const json& rules = part(conf, "rules", json::value_t::object);
+  const json& report = part(conf, "report", json::value_t::object);
+  const std::string sizes = get_or<std::string>(conf, "weights", "silent");
+  Provisioning given{.seed = seed,
+                     .heads = get<int>(conf, "balancers"),
+                     .own_number = get<int>(conf, "rank"),
+                     .groups = {},
+                     .plans = {},
+                     .cold_bears = get<double>(info, "cold-bears"),
+                     .usual_units = get<double>(info, "usual-units"),
+                     .most_units = get<double>(info, "most-units"),
+                     .share_gain = get<double>(info, "share-worth"),
+                     .beyond_gain = get<double>(info, "beyond-share"),
+                     .meter_period = time_or(info, "meter-s", 0),
+                     .tells_elsewhere = get_or<bool>(info, "tells-elsewhere", false),
+                     .list_asked = get<std::string>(conf, "registry-mode") == "ask",
+                     .sizes_told = sizes == "nominal" || sizes == "rough",
+                     .may_copy = get<bool>(limits, "may-duplicate"),
+                     .may_cancel = get<bool>(limits, "cancel"),
+                     .may_probe = get<bool>(limits, "probes"),
+                     .takes_advice = get<bool>(limits, "retry-after"),
+                     .most_submits = get<int>(limits, "max-attempts"),
+                     .longest_advice = time_or(limits, "max-retry-after-s", 0),
+                     .answer_slack = time_of(rules, "answer-slack-s"),
+                     .ask_every = time_or(rules, "ask-every-s", -1),
+                     .cold_from = get<double>(rules, "cold-from"),
+                     .fall_multiple = get<double>(rules, "fall-multiple"),
+                     .warm_within = time_of(rules, "warm-within-s"),
+                     .overload_for = time_of(rules, "overload-for-s"),
+                     .turn_rest = time_or(rules, "turn-gap-s", -1),
+                     .budget_spare = get_or<double>(rules, "spare-attempts", -1),
+                     .budget_share = get_or<double>(rules, "budget-share", -1),
+                     .budget_span = time_or(rules, "budget-span-s", -1)};
+  for (const json& c : part(conf, "classes", json::value_t::array)) {
+    all.groups.index(get<std::string>(c, "name"));
+    given.groups.push_back(io_group(c));
+  }
+  for (const json& p : part(conf, "plans", json::value_t::array)) {
+    all.plans.index(get<std::string>(p, "name"));
+    given.plans.push_back(plan(p));
+  }
+  if (auto it = report.find("fields"); it != report.end() && it->is_array())
+    for (const json& f : *it) all.report_fields.push_back(as<std::string>(f, "fields"));
+  if (auto it = info.find("writes"); it != info.end() && it->is_array())
+    for (const json& w : *it) all.writes.push_back(as<bool>(w, "writes"));
+  all.writes.resize(given.groups.size());
+  all.streams = get_or<int>(limits, "streams-per-conn", 1);
+  all.connect_within = time_or(limits, "connect-timeout-s", 250'000);
+  all.idle = time_or(limits, "conn-idle-s", 15'000'000);
+  all.head = std::move(given);
+  return all;
+}
+
+void put_load(LoadReport& report, std::string_view field, double value) {
+  if (field == "outstanding" || field == "inflight") report.outstanding = value;
+  if (field == "backlog" || field == "queue") report.backlog = value;
+  if (field == "utilization" || field == "util") report.utilization = value;
+  if (field == "recent_ms" || field == "latency_ms") report.recent = micros(value / 1000);
+}
+
+}  // namespace yewmount::provision
--- /dev/null
+++ b/src/relay/relay.cpp
@@ -0,0 +1,438 @@
+#include "relay/relay.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "base/base.h"
+
+namespace yewmount::relay {
+namespace {
+
+using nlohmann::json;
+using provision::BadInput;
+
+constexpr Micros kSecond = 1'000'000;
+constexpr Micros kStoodStill =
+    40'000;  // between two turns: counted for operators, acted on by the module alone
+constexpr Micros kTidy = 100'000;
+constexpr Micros kTell = 10 * kSecond;        // between two lines of figures in the log
+constexpr Micros kStillCome = 600'000;        // after SIGTERM, until clients know not to come any more
+constexpr Micros kLinger = kSecond;           // for clients that don't take their last answers
+constexpr Micros kVolumeRest = 60 * kSecond;  // a volume unused for longer gives its index back
+constexpr long kLongestWait = 600'000;        // milliseconds that a client may say it waits
+constexpr int kMostHeads = 4096, kMostShard = 1 << 16;
+constexpr std::size_t kSpareSockets = 24;  // of the descriptors: loop, log, listener, list of nodes
+constexpr std::size_t kHexDigits = 16;
+
+bool hex(std::string_view text, std::uint64_t& value) {
+  if (text.size() != kHexDigits) return false;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, 16);
+  return error == std::errc() && end == text.data() + text.size() && text[0] != '-';
+}
+
+bool whole(std::string_view text, long least, long most, long& value) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  return error == std::errc() && end == text.data() + text.size() && value >= least && value <= most;
+}
+
+std::uint64_t seed_of(const std::string& text) {
+  std::uint64_t seed = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+  if (error != std::errc() || end != text.data() + text.size())
+    throw BadInput("field 'seed' is not hex digits");
+  return seed;
+}
+
+// Half of the descriptors lead to nodes, where submits must not wait for one; clients have the rest.
+std::size_t for_nodes(std::size_t sockets) {
+  return sockets > 2 * kSpareSockets ? (sockets - kSpareSockets) / 2 : 8;
+}
+std::size_t for_clients(std::size_t sockets) { return for_nodes(sockets); }
+
+}  // namespace
+
+Deployment load(const std::string& file) {
+  std::string text;
+  if (const std::string why = read_file(file, text); !why.empty()) throw std::runtime_error(why);
+  json all;
+  try {
+    all = json::parse(text);
+  } catch (const json::parse_error& e) {
+    throw std::runtime_error(file + ": not JSON at byte " + std::to_string(e.byte));
+  }
+  try {
+    if (!all.is_object()) throw BadInput("not an object");
+    Deployment given;
+    given.name = provision::get<std::string>(all, "name");
+    given.listen = members::endpoint(provision::get<std::string>(all, "listen"));
+    given.members = members::endpoint(provision::get<std::string>(all, "discovery"));
+    const json& limits = provision::part(all, "limits", json::value_t::object);
+    given.sockets = static_cast<std::size_t>(provision::get<double>(limits, "sockets"));
+    given.memory = static_cast<std::size_t>(provision::get<double>(limits, "memory_mb") * 1024 * 1024);
+    given.known = provision::part(all, "known", json::value_t::object);
+    given.platform = provision::read(provision::part(all, "settings", json::value_t::object),
+                                     seed_of(provision::get<std::string>(all, "seed")));
+    return given;
+  } catch (const std::exception& e) {
+    throw std::runtime_error(file + ": " + e.what());
+  }
+}
+
+Relay::Relay(asio::io_context& io, Deployment given)
+    : io_(io),
+      given_(std::move(given)),
+      callers_(io, given_.listen, for_clients(given_.sockets), *this),
+      nodes_(io,
+             {given_.platform.streams, for_nodes(given_.sockets), given_.platform.connect_within,
+              given_.platform.idle},
+             *this),
+      members_(io, *this),
+      now_(monotonic_now()),
+      rules_(std::make_unique<Head>(given_.platform.head, *this, now_)) {
+  members_.know(given_.known);
+  members_.follow(given_.members);
+}
+
+Relay::~Relay() = default;
+
+Micros Relay::now() {
+  now_ = monotonic_now();
+  rules_->at(now_);
+  return now_;
+}
+
+// --- the turn ---------------------------------------------------------------------------------------------
+
+void Relay::run() {
+  while (true) {
+    turns::gather(io_, wakes_.next(monotonic_now() + kStoodStill));
+    const Micros began = monotonic_now();
+    turn();
+    counts_.longest_turn = std::max(counts_.longest_turn, monotonic_now() - began);
+    if (drain_from_ == 0) continue;
+    if (listening_ && now_ - drain_from_ > kStillCome) {
+      listening_ = false;
+      callers_.stop_listening();
+      continue;
+    }
+    if (listening_) continue;
+    callers_.close_idle();
+    if (in_hand_.size() == 0 && (callers_.clients() == 0 || now_ - drain_from_ > kStillCome + kLinger))
+      return;
+  }
+}
+
+void Relay::turn() {
+  now();
+  if (turned_ > 0 && now_ - turned_ > kStoodStill) ++counts_.stood_still;
+  turned_ = now_;
+  nodes_.deliver(now_);
+  callers_.deliver(now_);
+  wakes_.due(now_, [&](std::uint64_t token) { rules_->woke(token); });
+  rules_->settle();
+  nodes_.flush();
+  callers_.flush();
+  if (now_ - looked_ >= kTidy) {
+    looked_ = now_;
+    members_.check(now_);
+    callers_.sweep(now_);
+    callers_.flush();
+  }
+  if (now_ - swept_ >= kSecond) once_a_second(now_);
+}
+
+void Relay::once_a_second(Micros now) {
+  swept_ = now;
+  members_.tidy();
+  volumes_.tidy(now - kVolumeRest, [&](int index) { return rules_->forget_volume(index); });
+  if (now - told_ < kTell) return;
+  told_ = now;
+  logs::info("figures", report());
+}
+
+nlohmann::ordered_json Relay::report() const {
+  const callers::Counts& c = callers_.counts();
+  const nodes::Counts& n = nodes_.counts();
+  const Head::Footprint f = rules_->footprint();
+  return {{"taken", counts_.taken},
+          {"ended", counts_.ended},
+          {"shed", counts_.shed},
+          {"failed", counts_.failed},
+          {"left", counts_.left},
+          {"bad", counts_.bad},
+          {"full", counts_.full},
+          {"submits", counts_.submits},
+          {"further", counts_.further},
+          {"in_hand", f.in_hand},
+          {"held", f.held},
+          {"calm", f.calm},
+          {"clients", callers_.clients()},
+          {"unread", c.unread},
+          {"silent", c.silent},
+          {"evicted", c.evicted},
+          {"turned_back", c.turned_back},
+          {"stalled", c.stalled},
+          {"connections", nodes_.connections()},
+          {"opened", n.opened},
+          {"lost", n.connections_lost},
+          {"spoilt", n.spoilt},
+          {"strays", n.strays},
+          {"doubled_up", n.doubled_up},
+          {"no_room", n.no_room},
+          {"list", members_.version()},
+          {"nodes", members_.kept()},
+          {"volumes", volumes_.size()},
+          {"list_failures", members_.counts().failures},
+          {"stood_still", counts_.stood_still},
+          {"longest_turn_us", counts_.longest_turn}};
+}
+
+void Relay::drain() {
+  if (drain_from_ > 0) return;
+  drain_from_ = monotonic_now();
+  logs::info("draining", {{"in_hand", in_hand_.size()}, {"clients", callers_.clients()}});
+}
+
+void Relay::reload(const Deployment& given) {
+  now();
+  if (given.listen != given_.listen) logs::warn("the address to listen at changes only with a restart");
+  given_.members = given.members;
+  members_.follow(given.members);
+  // A plan keeps its place in the module: only figures may differ.
+  const provision::Platform &now = given.platform, &was = given_.platform;
+  bool same = now.head.plans.size() == was.head.plans.size();
+  for (std::size_t i = 0; same && i < now.head.plans.size(); ++i)
+    same = now.plans.name(static_cast<int>(i)) == was.plans.name(static_cast<int>(i));
+  if (same)
+    rules_->planned(now.head.plans);
+  else
+    logs::warn("which plans there are changes only with a restart");
+}
+
+// --- clients ----------------------------------------------------------------------------------------------
+
+// Null, or why the command can't be one: nothing malformed is to reach a node.
+const char* Relay::read(const resp::Command& command, BlockIo& bio, Work& work) {
+  const auto& w = command.words;
+  const bool write = w[0] == "BLK.WRITE";
+  if (!write && w[0] != "BLK.READ") return "unknown command";
+  if (command.count != (write ? 5 : 4)) return "wrong number of words";
+  std::uint64_t piece = 0, volume = 0;
+  if (!hex(w[1], piece)) return "the piece of data is not 16 hex digits";
+  if (!hex(w[2], work.name)) return "the id is not 16 hex digits";
+  const provision::Platform& platform = given_.platform;
+  long wait = -1, units = -1, shard = -2, heads = -1;
+  std::size_t wait_at = 0, wait_size = 0;
+  bool has_volume = false;
+  for (std::size_t at = 0; at < w[3].size();) {
+    const std::size_t comma = std::min(w[3].find(',', at), w[3].size());
+    const std::string_view pair = w[3].substr(at, comma - at);
+    const std::size_t equals = pair.find('=');
+    if (equals == std::string_view::npos) return "a value without a name";
+    const std::string_view name = pair.substr(0, equals), value = pair.substr(equals + 1);
+    if (name == "c") {
+      if (bio.group >= 0 || (bio.group = platform.groups.find(value)) < 0) return "unknown class";
+    } else if (name == "t") {
+      if (bio.plan >= 0 || (bio.plan = platform.plans.find(value)) < 0) return "unknown plan";
+    } else if (name == "d") {
+      if (wait >= 0 || !whole(value, 0, kLongestWait, wait))
+        return "the wait is not a number of milliseconds";
+      wait_at = at + equals + 1;
+      wait_size = value.size();
+    } else if (name == "volume") {
+      if (has_volume || !hex(value, volume)) return "the volume is not 16 hex digits";
+      has_volume = true;
+    } else if (name == "units") {
+      if (units >= 0 || !whole(value, 1, static_cast<long>(platform.head.most_units), units))
+        return "bad units";
+    } else if (name == "shard") {
+      if (shard >= -1 || !whole(value, -1, kMostShard, shard)) return "bad shard";
+    } else if (name == "hosts") {
+      if (heads >= 0 || !whole(value, 1, kMostHeads, heads)) return "bad number of hosts";
+    }
+    at = comma + 1;
+  }
+  if (bio.group < 0) return "no class";
+  if (bio.plan < 0) return "no plan";
+  if (wait < 0) return "no wait";
+  if (!has_volume || units < 0 || shard < -1 || heads < 0) return "no volume, units, shard or hosts";
+  if (platform.writes[bio.group] != write) return "the class is not one of this command";
+  bio.object = stable_hash(w[1]);
+  bio.give_up_at = now_ + wait * 1000;
+  bio.units = static_cast<int>(units);
+  bio.shard = static_cast<int>(shard);
+  bio.heads = static_cast<int>(heads);
+  bio.volume = volumes_.use(volume, now_);
+  work.give_up_at = bio.give_up_at;
+  work.command.clear();
+  resp::put_count(work.command, static_cast<std::size_t>(command.count));
+  for (int i = 0; i < 3; ++i) resp::put_bulk(work.command, w[i]);
+  work.fields = work.command.size();
+  work.wait = work.fields + wait_at;
+  work.command += w[3];
+  work.command.erase(work.wait, wait_size);
+  work.fields_size = w[3].size() - wait_size;
+  if (write) resp::put_bulk(work.command, w[4]);
+  return nullptr;
+}
+
+void Relay::asked(const callers::Caller& caller, const resp::Command& command) {
+  if (command.words[0] == "PING" && command.count == 1) return callers_.answer(caller, "+PONG\r\n");
+  now();
+  BlockIo bio{.id = 0,
+              .object = 0,
+              .give_up_at = 0,
+              .group = -1,
+              .plan = -1,
+              .volume = -1,
+              .shard = -1,
+              .units = 0,
+              .heads = 0};
+  const int at = works_.claim_as_left();
+  Work& work = works_[at];
+  work.submits = 0;
+  const char* why = read(command, bio, work);
+  if (!why && by_name_.find(work.name) >= 0) why = "a block I/O of this id is in hand";
+  if (why) {
+    ++counts_.bad;
+    works_.release(at);
+    return callers_.error(caller, why);
+  }
+  // Guards the memory limit: what can't be kept in hand is turned back untouched.
+  if (bytes_ + work.command.size() > given_.memory / 6) {
+    ++counts_.full;
+    works_.release(at);
+    return callers_.answer(caller, "-BUSY\r\n");
+  }
+  ++counts_.taken;
+  bytes_ += work.command.size();
+  work.caller = caller;
+  bio.id = work.id = ++last_id_;
+  in_hand_.add(at);
+  by_id_.add(bio.id, at);
+  by_name_.add(work.name, at);
+  rules_->take(bio);
+}
+
+void Relay::left(const callers::Caller& caller) {
+  for (int at : in_hand_) {
+    const Work& work = works_[at];
+    if (work.caller.token != caller.token || work.caller.turn != caller.turn) continue;
+    ++counts_.left;
+    now();
+    const std::uint64_t id = work.id;
+    let_go(at);
+    rules_->client_left(id);
+    return;
+  }
+}
+
+void Relay::let_go(int at) {
+  Work& work = works_[at];
+  bytes_ -= work.command.size();
+  by_id_.drop(works_[at].id);
+  by_name_.drop(work.name);
+  in_hand_.drop(at);
+  works_.release(at);
+  if (work.command.capacity() > resp::kMostLine * 2) work.command = {};
+}
+
+void Relay::shed(std::uint64_t id, Micros come_back_after) {
+  const int at = by_id_.find(id);
+  if (at < 0) return;
+  ++counts_.shed;
+  text_ = "-BUSY";
+  if (come_back_after > 0) text_ += " " + std::to_string((come_back_after + 999) / 1000);
+  text_ += "\r\n";
+  if (trace_) say_final(at, "shed");
+  callers_.answer(works_[at].caller, text_);
+  let_go(at);
+}
+
+void Relay::fail(std::uint64_t id) {
+  const int at = by_id_.find(id);
+  if (at < 0) return;
+  ++counts_.failed;
+  if (trace_) say_final(at, "failed");
+  callers_.error(works_[at].caller, "failed");
+  let_go(at);
+}
+
+// --- nodes ------------------------------------------------------------------------------------------------
+
+void Relay::submit(std::uint64_t id, int node, Micros try_for) {
+  const int at = by_id_.find(id);
+  if (at < 0) return;
+  Work& work = works_[at];
+  ++counts_.submits;
+  if (work.submits > 0) ++counts_.further;
+  const std::string wait = std::to_string(std::max<Micros>(1, try_for / 1000));
+  const std::string_view command = work.command;
+  const std::string_view before = command.substr(0, work.fields),
+                         fields = command.substr(work.fields, work.fields_size),
+                         behind = command.substr(work.fields + work.fields_size);
+  const std::size_t cut = work.wait - work.fields;
+  text_.assign(before);
+  text_ += "$" + std::to_string(fields.size() + wait.size()) + "\r\n";
+  text_.append(fields.substr(0, cut)).append(wait).append(fields.substr(cut)) += "\r\n";
+  text_ += behind;
+  if (trace_)
+    logs::debug("submit",
+                {{"id", id}, {"no", work.submits}, {"node", members_.node(node).name}, {"wait", wait}});
+  nodes_.submit(id, work.submits++, node, text_, now_, try_for);
+}
+
+void Relay::submit_ended(const nodes::Ended& ended) {
+  now();
+  const int at = by_id_.find(ended.id);
+  const bool good = ended.result == Result::ended;
+  if (trace_)
+    logs::debug("ended", {{"id", ended.id},
+                          {"no", ended.no},
+                          {"node", members_.node(ended.node).name},
+                          {"result", static_cast<int>(ended.result)},
+                          {"lag", ended.lag},
+                          {"use", ended.volume_use},
+                          {"others", ended.from_others},
+                          {"out", ended.report.outstanding},
+                          {"recent", ended.report.recent},
+                          {"late", at < 0}});
+  rules_->answered({ended.id, ended.no, ended.node, ended.result, good || at < 0, ended.lag, ended.volume_use,
+                    ended.from_others, ended.report});
+  // The module may have shed or failed it in that call; a good answer ends it here.
+  if (!good || at < 0 || by_id_.find(ended.id) != at) return;
+  ++counts_.ended;
+  text_.clear();
+  resp::put_bulk(text_, ended.value);
+  callers_.answer(works_[at].caller, text_);
+  let_go(at);
+}
+
+void Relay::say_final(int at, const char* how) {
+  logs::debug("final", {{"id", works_[at].id},
+                        {"how", how},
+                        {"submits", works_[at].submits},
+                        {"left", works_[at].give_up_at - now_}});
+}
+
+void Relay::note(std::string_view text) { logs::info("module", {{"says", text}}); }
+
+// --- the list of nodes ------------------------------------------------------------------------------------
+
+void Relay::listed(ListKind kind, std::span<const NodeEntry> entries) {
+  now();
+  for (const NodeEntry& e : entries) {
+    const members::Known& n = members_.node(e.node);
+    if (e.state != NodeState::gone) nodes_.node_at(e.node, n.name, n.at, n.started);
+    if (e.state != NodeState::ready) nodes_.recall(e.node);
+  }
+  rules_->listed(kind, entries);
+  if (kind == ListKind::full || kind == ListKind::cached) {
+    for (int i = 0; i < members_.size(); ++i)
+      if (members_.node(i).used && members_.node(i).state == NodeState::gone) nodes_.recall(i);
+  }
+}
+
+bool Relay::may_reuse(int node) { return nodes_.forget(node) && rules_->forget_node(node); }
+
+}  // namespace yewmount::relay
--- /dev/null
+++ b/src/relay/relay.h
@@ -0,0 +1,114 @@
+// The head on the operators' platform: commands of clients become block I/Os, the module decides on them, and
+// its wishes become commands to nodes and answers to clients. It decides nothing of its own. No door, no
+// catalogue, no scrubber, no file: the platform's limits and rules leave no room for them.
+#pragma once
+#include <asio.hpp>
+#include <cstdint>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+#include "callers/callers.h"
+#include "members/members.h"
+#include "nodes/nodes.h"
+#include "provision/provision.h"
+#include "rules/rules.h"
+#include "rules/slab.h"
+#include "turns/turns.h"
+
+namespace yewmount::relay {
+
+// What the platform hands a head at its start.
+struct Deployment {
+  std::string name;
+  asio::ip::tcp::endpoint listen, members;
+  std::size_t sockets = 0, memory = 0;  // descriptors; bytes
+  nlohmann::json known;
+  provision::Platform platform;
+};
+
+// Throws provision::BadInput or std::runtime_error with one line: the place and the reason.
+Deployment load(const std::string& file);
+
+struct Counts {
+  std::uint64_t taken = 0, ended = 0, shed = 0, failed = 0, left = 0, bad = 0, full = 0, submits = 0,
+                further = 0;
+  std::uint64_t stood_still = 0;
+  Micros longest_turn = 0;
+};
+
+class Relay : public Surroundings, public callers::Service, public nodes::Told, public members::Told {
+ public:
+  Relay(asio::io_context& io, Deployment given);
+  ~Relay() override;
+
+  std::uint16_t port() const { return callers_.port(); }
+  void run();  // until drained
+  // Goes on for as long as new connections may come, then ends them between commands; run() returns once all
+  // in hand have their final answer.
+  void drain();
+  void reload(const Deployment& given);  // another place of the list of nodes, other plans
+  void trace(bool on) { trace_ = on; }
+  nlohmann::ordered_json report() const;
+  const Counts& counts() const { return counts_; }
+
+ private:
+  struct Work {                      // a block I/O in hand
+    std::uint64_t id = 0, name = 0;  // the module's; the client's
+    callers::Caller caller;
+    Micros give_up_at = 0;
+    int submits = 0;
+    std::string command;          // as it goes to nodes, without how long this head will wait
+    std::size_t fields = 0;       // where in the command the list of names and values begins
+    std::size_t wait = 0;         // where in it how long is to be put
+    std::size_t fields_size = 0;  // of that list, without it
+  };
+
+  // callers::Service
+  void asked(const callers::Caller& caller, const resp::Command& command) override;
+  void left(const callers::Caller& caller) override;
+  // nodes::Told
+  void submit_ended(const nodes::Ended& ended) override;
+  // members::Told
+  void listed(ListKind kind, std::span<const NodeEntry> entries) override;
+  bool may_reuse(int node) override;
+  // Surroundings
+  void submit(std::uint64_t id, int node, Micros try_for) override;
+  void shed(std::uint64_t id, Micros come_back_after) override;
+  void fail(std::uint64_t id) override;
+  void cancel(std::uint64_t id, int submit) override { nodes_.cancel(id, submit); }
+  void wake(std::uint64_t token, Micros from_now) override { wakes_.add(now_ + from_now, token); }
+  void fetch_list() override {}
+  void watch_list() override {}
+  void probe(int) override {}
+  void note(std::string_view text) override;
+
+  const char* read(const resp::Command& command, BlockIo& bio, Work& work);
+  void turn();
+  void once_a_second(Micros now);
+  void let_go(int work);
+  void say_final(int work, const char* how);
+  Micros now();
+
+  asio::io_context& io_;
+  Deployment given_;
+  callers::Callers callers_;
+  nodes::Nodes nodes_;
+  members::Members members_;
+  Micros now_ = 0;
+  turns::Wakes wakes_;
+  turns::Indices<std::uint64_t> volumes_;
+  Slab<Work> works_;
+  DensePlaces in_hand_;
+  TicketIndex by_id_, by_name_;
+  std::uint64_t last_id_ = 0;
+  std::size_t bytes_ = 0;  // of the commands in hand
+  std::string text_;
+  Counts counts_;
+  Micros swept_ = 0, looked_ = 0, turned_ = 0, told_ = 0, drain_from_ = 0;
+  bool trace_ = false, listening_ = true;
+  std::unique_ptr<Head> rules_;  // last: it speaks to the rest from its start
+};
+
+}  // namespace yewmount::relay
