Values longer than a command's body are taken whole, bounded by memory, not called spoilt

At fault: resp::cut for answers, which held first values to kMostValue. Now one value may take a sixteenth of the memory limit, all that are not whole yet a quarter; gigabytes announced are still turned down at their length.

--- a/fuzz/resp_fuzz.cpp
+++ b/fuzz/resp_fuzz.cpp
@@ -6,6 +6,8 @@
 
 using namespace yewmount::resp;
 
+static Cut cut(std::string_view bytes, Reply& reply) { return cut(bytes, reply, 1 << 10); }
+
 template <class Thing>
 static void once(std::string_view bytes) {
   Thing thing;
--- a/src/nodes/nodes.cpp
+++ b/src/nodes/nodes.cpp
@@ -223,8 +223,10 @@
 
 void Nodes::came(int at, std::string_view bytes) {
   const std::shared_ptr<Wire> wire = lines_[at].wire;
-  std::string_view all = bytes;
-  if (!wire->held.empty()) all = wire->held.append(bytes);
+  std::string& held = wire->held;
+  const bool joined = !held.empty();
+  if (joined) held_ += bytes.size(), held += bytes;
+  std::string_view all = joined ? held : bytes;
   lines_[at].reading = true;
   while (!all.empty()) {
     if (lines_[at].out.empty()) {
@@ -232,7 +234,7 @@
       return drop(at);
     }
     resp::Reply reply;
-    const resp::Cut cut = resp::cut(all, reply);
+    const resp::Cut cut = resp::cut(all, reply, given_.most_value);
     if (cut == resp::Cut::partial) break;
     if (cut == resp::Cut::malformed) return spoilt(at, reply.why);
     all.remove_prefix(reply.bytes);
@@ -242,14 +244,20 @@
   }
   Line& line = lines_[at];
   line.reading = false;
-  if (all.empty()) {
-    wire->held.clear();
-    if (wire->held.capacity() > resp::kMostLine) wire->held = {};
+  if (joined && all.size() < held.size()) {
+    held_ -= held.size() - all.size();
+    held.erase(0, held.size() - all.size());
+    if (held.empty()) held = {};  // what a long answer needed is not kept by an idle connection
+  } else if (!joined && !all.empty()) {
+    held_ += all.size();
+    held = all;
+  }
+  if (held.empty()) {
     if (line.out.empty() && line.retired) drop(at);
     return;
   }
-  if (line.begun == 0) line.begun = monotonic_now();
-  wire->held = std::string(all);
+  line.begun = monotonic_now();
+  if (held_ > given_.most_held) spoilt(at, "no memory for more of it");
 }
 
 void Nodes::answer(int at, const resp::Reply& reply) {
@@ -307,7 +315,10 @@
 
 void Nodes::drop(int at) {
   Line& line = lines_[at];
-  if (line.wire) line.wire->close();
+  if (line.wire) {
+    held_ -= line.wire->held.size();
+    line.wire->close();
+  }
   if (line.socket) {
     std::error_code ignored;
     line.socket->close(ignored);
--- a/src/nodes/nodes.h
+++ b/src/nodes/nodes.h
@@ -23,6 +23,7 @@
   int streams = 1;              // submits out on one connection, at most
   std::size_t connections = 1;  // to all nodes together
   Micros connect_within = 0, idle = 0;
+  std::size_t most_value = 0, most_held = 0;  // bytes: of one value; of all answers that aren't whole yet
 };
 
 struct Ended {
@@ -82,7 +83,7 @@
     std::shared_ptr<Wire> wire;
     std::vector<int> out;  // in the order of their commands; -1: given up, its answer is nobody's
     Micros since = 0, answered = 0;
-    Micros begun = 0;  // when the first part of an answer came that isn't whole yet
+    Micros begun = 0;  // when the last part came of an answer that isn't whole yet
   };
   struct Peer {
     std::string name;
@@ -124,6 +125,7 @@
   std::vector<Soon> soon_, telling_;
   std::vector<int> dirty_, work_;
   Micros looked_ = 0;
+  std::size_t held_ = 0;  // bytes of answers that aren't whole yet
   Counts counts_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -22,6 +22,7 @@
 constexpr long kLongestWait = 600'000;        // milliseconds that a client may say it waits
 constexpr int kMostHeads = 4096, kMostShard = 1 << 16;
 constexpr std::size_t kSpareSockets = 24;  // of the descriptors: loop, log, listener, list of nodes
+constexpr std::size_t kValuePart = 16, kHeldPart = 4;  // of the memory: for one value, for all that come
 constexpr std::size_t kHexDigits = 16;
 
 bool hex(std::string_view text, std::uint64_t& value) {
@@ -84,7 +85,7 @@
       callers_(io, given_.listen, for_clients(given_.sockets), *this),
       nodes_(io,
              {given_.platform.streams, for_nodes(given_.sockets), given_.platform.connect_within,
-              given_.platform.idle},
+              given_.platform.idle, given_.memory / kValuePart, given_.memory / kHeldPart},
              *this),
       members_(io, *this),
       now_(monotonic_now()),
--- a/src/resp/resp.cpp
+++ b/src/resp/resp.cpp
@@ -68,7 +68,7 @@
     if (r.done()) return Cut::partial;
     if (bytes[r.at++] != '$') return Cut::malformed;
     const bool last = i + 1 == words;
-    const Cut c = r.bulk(command.words[i], last ? kMostValue : kMostLine, false);
+    const Cut c = r.bulk(command.words[i], last ? kMostBody : kMostLine, false);
     if (c == Cut::malformed) command.why = "a length or a value that can't be read";
     if (c != Cut::whole) return c;
   }
@@ -77,7 +77,7 @@
   return Cut::whole;
 }
 
-Cut cut(std::string_view bytes, Reply& reply) {
+Cut cut(std::string_view bytes, Reply& reply, std::size_t most) {
   Reader r{bytes};
   reply.count = 0;
   if (r.done()) return Cut::partial;
@@ -93,7 +93,7 @@
     }
     case '$': {
       reply.why = "a length that can't be";
-      if (const Cut c = r.bulk(reply.text, kMostValue, true); c != Cut::whole) return c;
+      if (const Cut c = r.bulk(reply.text, most, true); c != Cut::whole) return c;
       reply.kind = reply.text.data() ? Reply::Kind::bulk : Reply::Kind::nil;
       break;
     }
@@ -108,7 +108,7 @@
         const char kind = bytes[r.at++];
         std::string_view& value = reply.values[i];
         Cut c = Cut::malformed;
-        if (kind == '$') c = r.bulk(value, i == 0 ? kMostValue : kMostLine, true);
+        if (kind == '$') c = r.bulk(value, i == 0 ? most : kMostLine, true);
         // Only the first is what was asked for: what stands beside it may be written any way that ends.
         if (i > 0 && (kind == '+' || kind == '-' || kind == ':')) c = r.line(value, kMostLine);
         if (c != Cut::whole) return c;
--- a/src/resp/resp.h
+++ b/src/resp/resp.h
@@ -9,10 +9,10 @@
 
 namespace yewmount::resp {
 
-inline constexpr std::size_t kMostValue = 64 << 10;  // bytes of one value
-inline constexpr int kMostWords = 8;                 // of a command, and values of an answer
-inline constexpr std::size_t kMostLine = 512;        // of a status or error line
-inline constexpr std::size_t kMostBytes = kMostValue + 8 * kMostLine;  // of a whole command or answer
+inline constexpr std::size_t kMostBody = 64 << 10;                    // bytes of a command's last word
+inline constexpr int kMostWords = 8;                                  // of a command, and values of an answer
+inline constexpr std::size_t kMostLine = 512;                         // of a status or error line
+inline constexpr std::size_t kMostBytes = kMostBody + 8 * kMostLine;  // of a whole command
 
 enum class Cut : std::uint8_t { whole, partial, malformed };
 
@@ -35,7 +35,8 @@
   const char* why = "";
 };
 
-Cut cut(std::string_view bytes, Reply& reply);
+// The first value holds `most` bytes at most; those beside it a line's.
+Cut cut(std::string_view bytes, Reply& reply, std::size_t most);
 
 void put_count(std::string& out, std::size_t words);
 void put_bulk(std::string& out, std::string_view value);
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -146,6 +146,26 @@
   }
 }
 
+// More than a command may bring, in many parts, several at once; and one that comes for ever.
+TEST_F(Serving, LongValuesComeWholeAndThoseTooLongAreNotWaitedFor) {
+  p.start();
+  const std::string rest(400'000, 'z');
+  p.on_command = [&](int, Conn& c, const Words& w) {
+    for (auto& r : p.record.runs) r.value |= r.id == w[2];
+    c.send("*3\r\n$" + std::to_string(6 + w[2].size() + rest.size()) + "\r\nvalue-" + w[2] + rest +
+           "\r\n$-1\r\n$-1\r\n");
+  };
+  auto one = p.client(), two = p.client();
+  const std::string a = p.ask(*one, false, 0), b = p.ask(*two, false, 1);
+  ASSERT_TRUE(p.until([&] { return p.answered(); }));
+  for (const auto& id : {a, b}) {
+    EXPECT_EQ(p.answer(id).size(), 1 + 6 + id.size() + rest.size());
+    p.record.asked[id].answers[0].resize(7 + id.size());
+  }
+  p.on_command = [&](int, Conn& c, const Words&) { c.send("*3\r\n$60000000\r\n" + rest); };
+  EXPECT_EQ(once(true), "-ERR failed");
+}
+
 TEST_F(Serving, WhatComesBehindAGoodAnswerIsNobodysAndItsFiguresAreLeftOut) {
   p.start();
   for (const std::string& rest :
