--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -265,6 +265,7 @@
   bio.heads = static_cast<int>(heads);
   bio.volume = volumes_.use(volume, now_);
   work.give_up_at = bio.give_up_at;
+  work.taken = now_;
   work.command.clear();
   resp::put_count(work.command, static_cast<std::size_t>(command.count));
   for (int i = 0; i < 3; ++i) resp::put_bulk(work.command, w[i]);
@@ -321,6 +322,7 @@
     if (work.caller.token != caller.token || work.caller.turn != caller.turn) continue;
     ++counts_.left;
     now();
+    if (trace_) say_final(at, "left");
     const std::uint64_t id = work.id;
     let_go(at);
     rules_->client_left(id);
@@ -397,12 +399,14 @@
                           {"others", ended.from_others},
                           {"out", ended.report.outstanding},
                           {"recent", ended.report.recent},
-                          {"late", at < 0}});
+                          {"value", ended.value.size()},
+                        {"late", at < 0}});
   rules_->answered({ended.id, ended.no, ended.node, ended.result, good || at < 0, ended.lag, ended.volume_use,
                     ended.from_others, ended.report});
   // The module may have shed or failed it in that call; a good answer ends it here.
   if (!good || at < 0 || by_id_.find(ended.id) != at) return;
   ++counts_.ended;
+  if (trace_) say_final(at, "ended");
   text_.clear();
   resp::put_bulk(text_, ended.value);
   callers_.answer(works_[at].caller, text_);
@@ -413,6 +417,7 @@
   logs::debug("final", {{"id", works_[at].id},
                         {"how", how},
                         {"submits", works_[at].submits},
+                         {"took", now_ - works_[at].taken},
                         {"left", works_[at].give_up_at - now_}});
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -57,7 +57,7 @@
   struct Work {                      // a block I/O in hand
     std::uint64_t id = 0, name = 0;  // the module's; the client's
     callers::Caller caller;
-    Micros give_up_at = 0;
+    Micros taken = 0, give_up_at = 0;
     int submits = 0;
     std::string command;          // as it goes to nodes, without how long this head will wait
     std::size_t fields = 0;       // where in the command the list of names and values begins
