--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -42,5 +42,6 @@
 add_test(NAME plan_command_line COMMAND ${CMAKE_SOURCE_DIR}/tests/plans/command_line.sh ${CMAKE_BINARY_DIR}/bin)
 
 yewmount_test(resp SOURCES tests/resp/resp_test.cpp USES yewmount_resp)
-yewmount_test(relay SOURCES tests/relay/relay_test.cpp USES yewmount_net nlohmann_json::nlohmann_json)
+yewmount_test(relay SOURCES tests/relay/relay_test.cpp tests/relay/reuse_test.cpp
+              USES yewmount_nodes nlohmann_json::nlohmann_json)
 target_compile_definitions(relay_tests PRIVATE YEWMOUNTD="$<TARGET_FILE:yewmountd>")
--- a/src/nodes/nodes.cpp
+++ b/src/nodes/nodes.cpp
@@ -77,8 +77,10 @@
     const Line& line = lines_[l];
     if (!line.wire || line.retired || line.reading || !line.out.empty()) continue;
     if (now - line.answered < kRest) continue;
-    if (line.wire->unread())
-      work_.push_back(l);  // it brings what nobody asked for, or has ended
+    const bool old = !reuse_.worth(now - line.answered, now);
+    counts_.too_old += old;
+    if (old || line.wire->unread())
+      work_.push_back(l);  // not to be trusted, or it brings what nobody asked for, or has ended
     else if (best < 0 || line.answered > lines_[best].answered)
       best = l;
   }
@@ -154,6 +156,8 @@
     soon_.push_back({at, id, no, known ? Result::not_sent : Result::no_connection});
     return;
   }
+  const Line& on = lines_[line];
+  out.idle = !on.out.empty() ? -2 : on.wire ? now - on.answered : -1;
   out.command = command;
   lines_[line].out.push_back(at);
   if (!lines_[line].wire) return;
@@ -174,6 +178,11 @@
 
 void Nodes::end(int at, Result result, Micros now, const resp::Reply* reply) {
   const Out& out = outs_[at];
+  const bool broke = result == Result::lost;
+  if (broke || reply) {
+    if (out.idle >= 0) reuse_.kept(out.idle, broke, now);
+    if (out.idle == -1) reuse_.fresh(broke, now);
+  }
   Ended ended{.id = out.id,
               .no = out.no,
               .node = out.node,
--- a/src/nodes/nodes.h
+++ b/src/nodes/nodes.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "net/stream.h"
+#include "nodes/reuse.h"
 #include "resp/resp.h"
 #include "rules/rules.h"
 #include "rules/slab.h"
@@ -43,7 +44,8 @@
 };
 
 struct Counts {
-  std::uint64_t opened = 0, connections_lost = 0, spoilt = 0, strays = 0, doubled_up = 0, no_room = 0;
+  std::uint64_t opened = 0, connections_lost = 0, spoilt = 0, strays = 0, doubled_up = 0, no_room = 0,
+                too_old = 0;
 };
 
 class Nodes {
@@ -74,6 +76,7 @@
     int no = 0, node = -1, line = -1;
     std::uint64_t begin = 0, end = 0;  // its bytes among those appended to its connection
     Micros at = 0, until = 0;
+    Micros idle = 0;      // of its connection until then; -1: it is new; -2: there was another submit on it
     std::string command;  // until the connection is up
   };
   struct Line {
@@ -127,6 +130,7 @@
   Micros looked_ = 0;
   std::size_t held_ = 0;  // bytes of answers that aren't whole yet
   Counts counts_;
+  Reuse reuse_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -15,9 +15,12 @@
 constexpr Micros kStoodStill =
     40'000;  // between two turns: counted for operators, acted on by the module alone
 constexpr Micros kTidy = 100'000;
-constexpr Micros kTell = 10 * kSecond;        // between two lines of figures in the log
-constexpr Micros kStillCome = 600'000;        // after SIGTERM, until clients know not to come any more
-constexpr Micros kLinger = kSecond;           // for clients that don't take their last answers
+constexpr Micros kTell = 10 * kSecond;  // between two lines of figures in the log
+// The platform ends a head no sooner after SIGTERM than its longest hard limit, counted as three seconds
+// where it is longer, and 0.7 s more. Until then its clients have no other head.
+constexpr Micros kMostLimit = 3 * kSecond, kGrace = 700'000;
+constexpr Micros kMargin = 200'000;   // before that, the last answer is out
+constexpr Micros kClosing = 400'000;  // before the last answer, connections are ended between commands
 constexpr Micros kVolumeRest = 60 * kSecond;  // a volume unused for longer gives its index back
 constexpr long kLongestWait = 600'000;        // milliseconds that a client may say it waits
 constexpr int kMostHeads = 4096, kMostShard = 1 << 16;
@@ -110,16 +113,14 @@
     const Micros began = monotonic_now();
     turn();
     counts_.longest_turn = std::max(counts_.longest_turn, monotonic_now() - began);
-    if (drain_from_ == 0) continue;
-    if (listening_ && now_ - drain_from_ > kStillCome) {
+    if (gone_at_ == 0 || now_ < gone_at_ - kClosing) continue;
+    if (listening_) {
       listening_ = false;
       callers_.stop_listening();
       continue;
     }
-    if (listening_) continue;
     callers_.close_idle();
-    if (in_hand_.size() == 0 && (callers_.clients() == 0 || now_ - drain_from_ > kStillCome + kLinger))
-      return;
+    if (in_hand_.size() == 0 && (callers_.clients() == 0 || now_ > gone_at_)) return;
   }
 }
 
@@ -180,6 +181,7 @@
           {"strays", n.strays},
           {"doubled_up", n.doubled_up},
           {"no_room", n.no_room},
+          {"too_old", n.too_old},
           {"list", members_.version()},
           {"nodes", members_.kept()},
           {"volumes", volumes_.size()},
@@ -189,8 +191,10 @@
 }
 
 void Relay::drain() {
-  if (drain_from_ > 0) return;
-  drain_from_ = monotonic_now();
+  if (gone_at_ > 0) return;
+  Micros longest = 0;
+  for (const IoGroup& g : given_.platform.head.groups) longest = std::max(longest, g.hard_limit);
+  gone_at_ = monotonic_now() + std::min(longest, kMostLimit) + kGrace - kMargin;
   logs::info("draining", {{"in_hand", in_hand_.size()}, {"clients", callers_.clients()}});
 }
 
@@ -260,6 +264,8 @@
   if (platform.writes[bio.group] != write) return "the class is not one of this command";
   bio.object = stable_hash(w[1]);
   bio.give_up_at = now_ + wait * 1000;
+  // Nothing may be left unanswered when this head goes.
+  if (gone_at_ > 0) bio.give_up_at = std::min(bio.give_up_at, gone_at_);
   bio.units = static_cast<int>(units);
   bio.shard = static_cast<int>(shard);
   bio.heads = static_cast<int>(heads);
@@ -400,7 +406,7 @@
                           {"out", ended.report.outstanding},
                           {"recent", ended.report.recent},
                           {"value", ended.value.size()},
-                        {"late", at < 0}});
+                          {"late", at < 0}});
   rules_->answered({ended.id, ended.no, ended.node, ended.result, good || at < 0, ended.lag, ended.volume_use,
                     ended.from_others, ended.report});
   // The module may have shed or failed it in that call; a good answer ends it here.
@@ -417,7 +423,7 @@
   logs::debug("final", {{"id", works_[at].id},
                         {"how", how},
                         {"submits", works_[at].submits},
-                         {"took", now_ - works_[at].taken},
+                        {"took", now_ - works_[at].taken},
                         {"left", works_[at].give_up_at - now_}});
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -45,8 +45,8 @@
 
   std::uint16_t port() const { return callers_.port(); }
   void run();  // until drained
-  // Goes on for as long as new connections may come, then ends them between commands; run() returns once all
-  // in hand have their final answer.
+  // Goes on for as long as the platform leaves it, then ends connections between commands; run() returns once
+  // all in hand have their final answer.
   void drain();
   void reload(const Deployment& given);  // another place of the list of nodes, other plans
   void trace(bool on) { trace_ = on; }
@@ -106,7 +106,8 @@
   std::size_t bytes_ = 0;  // of the commands in hand
   std::string text_;
   Counts counts_;
-  Micros swept_ = 0, looked_ = 0, turned_ = 0, told_ = 0, drain_from_ = 0;
+  Micros swept_ = 0, looked_ = 0, turned_ = 0, told_ = 0,
+         gone_at_ = 0;  // gone_at: after SIGTERM, when the last answer is due
   bool trace_ = false, listening_ = true;
   std::unique_ptr<Head> rules_;  // last: it speaks to the rest from its start
 };
--- a/src/rules/rules.cpp
+++ b/src/rules/rules.cpp
@@ -31,8 +31,8 @@
 constexpr double kUseMemory = 4e6;     // over which a volume's units here and elsewhere are compared
 constexpr double kUntoldPart = 0.6;    // a head's part of a volume is heads^-this where others are not told
 constexpr double kRoomShare = 0.45, kRoomBeyond = 0.15;  // of the goal, by what is due; the reserve has all
-constexpr double kPriceMemory = 2.5e6;  // over which a node's price fades when nothing is shed there
-constexpr double kLagMemory = 0.1e6;    // over which the last answers' lag stops telling of the wait
+constexpr double kPriceMemory = 2;   // of the tightest goal: a node's price fades when nothing is shed there
+constexpr double kLagMemory = 0.33;  // of it: the last answers' lag stops telling of the wait
 constexpr double kUnitPart = 0.4, kUnitStep = 0.05, kFirstStep = 0.5;  // a unit's time unhindered: a quantile
 constexpr Micros kTick = 5'000;       // within the slack that a final answer has
 constexpr double kCalm = 0.18;        // of the tightest goal: an average wait that counts as pressure
@@ -229,7 +229,7 @@
     const FadingFit& f = n.fit;
     if (n.seen != turn_) {
       n.seen = turn_;
-      n.fresh = std::exp(-static_cast<double>(now_ - n.heard) / (kLagMemory + 2 * n.wait));
+      n.fresh = std::exp(-static_cast<double>(now_ - n.heard) / (kLagMemory * tightest_goal_ + n.wait));
       n.kept = std::exp(-static_cast<double>(now_ - n.heard) / kFitMemory);
       n.cross = f.cross(), n.spread = f.spread();
     }
@@ -827,7 +827,7 @@
     n.oldest = 0;
     if (!shut(n)) n.fine = now_;
     used += n.sent.sum(now_, given_.overload_for) > 0;
-    n.price *= std::exp(-static_cast<double>(kTick) / kPriceMemory);
+    n.price *= std::exp(-static_cast<double>(kTick) / (kPriceMemory * tightest_goal_));
     served += n.served;
     busy += n.busy;
   }
