--- a/tests/resp/resp_test.cpp
+++ b/tests/resp/resp_test.cpp
@@ -11,8 +11,8 @@
 
 using resp::Cut;
 
-Cut cut(std::string_view bytes, resp::Command& command) { return resp::cut(bytes, command); }
-Cut cut(std::string_view bytes, resp::Reply& reply) { return resp::cut(bytes, reply, resp::kMostBody); }
+Cut judge(std::string_view bytes, resp::Command& command) { return resp::cut(bytes, command); }
+Cut judge(std::string_view bytes, resp::Reply& reply) { return resp::cut(bytes, reply, resp::kMostBody); }
 
 std::string command(std::initializer_list<std::string_view> words) {
   std::string out;
@@ -26,9 +26,9 @@
 void whole_at_its_end(const std::string& bytes) {
   Thing thing;
   for (std::size_t n = 0; n < bytes.size(); ++n)
-    ASSERT_EQ(cut(std::string_view(bytes).substr(0, n), thing), Cut::partial) << n << " of " << bytes;
+    ASSERT_EQ(judge(std::string_view(bytes).substr(0, n), thing), Cut::partial) << n << " of " << bytes;
   for (const char* behind : {"", "*", "\r\n", "$9999999999\r\n"}) {
-    ASSERT_EQ(cut(bytes + behind, thing), Cut::whole);
+    ASSERT_EQ(judge(bytes + behind, thing), Cut::whole);
     EXPECT_EQ(thing.bytes, bytes.size());
   }
 }
@@ -45,7 +45,7 @@
                            "-BUSY\r\n", "$-1\r\n", "$0\r\n\r\n", "*3\r\n$1\r\nv\r\n+odd\r\n:12\r\n"})
     whole_at_its_end<resp::Reply>(text);
   resp::Reply reply;
-  ASSERT_EQ(cut("*3\r\n$2\r\nva\r\n$6\r\nused=3\r\n$-1\r\n", reply), Cut::whole);
+  ASSERT_EQ(judge("*3\r\n$2\r\nva\r\n$6\r\nused=3\r\n$-1\r\n", reply), Cut::whole);
   EXPECT_EQ(reply.values[0], "va");
   EXPECT_EQ(reply.values[1], "used=3");
   EXPECT_EQ(reply.values[2].data(), nullptr);
@@ -57,13 +57,13 @@
        {"*2\r\n$60000000\r\n", "*2\r\n$-5\r\n", "*-1\r\n", "*0\r\n", "*9\r\n", "*99999999999",
         "*1\r\n$65537\r\n", "*2\r\n$513\r\n", "*1\r\n$a\r\n", "GET / HTTP/1.1\r\n", "\r\n", "*1\r\n$ 1\r\n",
         "*1\r\n$+1\r\n", "*1\r\n$3\r\nabcd", "*1\n", "*1\r\n:1\r\n", "*1\rx"})
-    EXPECT_EQ(cut(text, c), Cut::malformed) << text;
+    EXPECT_EQ(judge(text, c), Cut::malformed) << text;
   resp::Reply r;
   for (const char* text :
        {"$3000000000\r\n", "*3\r\n$3000000000\r\n", "*3\r\n*1\r\n", "*1000\r\n", "HTTP/1.1 200", "$-2\r\n",
         "*3\r\n:1\r\n", "*3\r\n+v\r\n", "\x01\x02", "$2\r\nabc", "-x\ny\r\n"})
-    EXPECT_EQ(cut(text, r), Cut::malformed) << text;
-  EXPECT_EQ(cut("-" + std::string(600, 'x'), r), Cut::malformed);
+    EXPECT_EQ(judge(text, r), Cut::malformed) << text;
+  EXPECT_EQ(judge("-" + std::string(600, 'x'), r), Cut::malformed);
 }
 
 // Whatever comes, what is kept while it is not whole stays within its bound, and a cut lies within the bytes.
@@ -78,7 +78,7 @@
       bytes[chance() % bytes.size()] = static_cast<char>("*$\r\n0-9\xff:+1"[chance() % 12]);
     resp::Command c;
     resp::Reply r;
-    const Cut cut = run % 2 ? cut(bytes, r) : cut(bytes, c);
+    const Cut cut = run % 2 ? judge(bytes, r) : judge(bytes, c);
     const std::size_t used = run % 2 ? r.bytes : c.bytes;
     if (cut == Cut::whole) {
       ++whole;
@@ -87,7 +87,7 @@
     malformed += cut == Cut::malformed;
     // Partial for ever would be kept for ever: beyond the bound it is one or the other.
     bytes.resize(resp::kMostBytes + resp::kMostWords * resp::kMostLine, '1');
-    ASSERT_NE(run % 2 ? cut(bytes, r) : cut(bytes, c), Cut::partial);
+    ASSERT_NE(run % 2 ? judge(bytes, r) : judge(bytes, c), Cut::partial);
   }
   EXPECT_GT(whole, 1000);
   EXPECT_GT(malformed, 1000);
