--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -50,3 +50,7 @@
 target_compile_definitions(relay_tests PRIVATE YEWMOUNTD="$<TARGET_FILE:yewmountd>"
                            YEWMOUNTD_PLANTED="$<TARGET_FILE:yewmountd-planted>")
 add_dependencies(relay_tests yewmountd yewmountd-planted)
+
+# The tools of this repository itself.
+add_test(NAME variant_tool COMMAND ${CMAKE_SOURCE_DIR}/tests/variant/variant_test.sh)
+add_test(NAME known_red_tool COMMAND ${CMAKE_SOURCE_DIR}/tests/known_red/known_red_test.sh)
