--- a/src/callers/callers.cpp
+++ b/src/callers/callers.cpp
@@ -158,7 +158,7 @@
 
   // What had to wait for the client to take its answers goes on.
   void moved() override {
-    if (slots_.empty() && (refused_ || over_)) return owner_.let_go(number_);
+    if (slots_.empty() && pending() == 0 && (refused_ || over_)) return owner_.let_go(number_);
     // What a burst of long answers needed is not kept.
     if (pending() == 0 && out().capacity() > kMostPending) out() = {};
     if (full_ && !full()) owner_.waiting_.push_back(caller(0));
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -66,7 +66,7 @@
         if (!self->open_) return;
         if (failed) return self->broken(failed);
         self->flush();
-        if (self->open_) self->moved();
+        if (self->open_ && !self->lingering_) self->moved();  // its owner has let go of it
       });
       if (at_ > kReadBytes) out_.erase(0, at_), at_ = 0;
       return;
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -297,6 +297,28 @@
   EXPECT_TRUE(p.until([&] { return c->closed(); }));
 }
 
+// The same with an answer longer than the socket takes, which its client reads late and in parts, once in the
+// head's usual life and once as the head ends.
+TEST_F(Serving, ALongAnswerIsTakenToItsEndByOneThatReadsLate) {
+  p.start();
+  p.padding.assign(3'000'000, 'z');
+  for (const bool end : {false, true}) {
+    SCOPED_TRACE(end);
+    auto c = p.client(false);
+    std::vector<std::string> ids;
+    for (int i = 0; i < 5; ++i) ids.push_back(p.ask(*c, false, i % 3, 4000));
+    if (end)
+      kill(p.head, SIGTERM);
+    else
+      c->conn->socket.shutdown(asio::socket_base::shutdown_send);
+    p.idle(end ? 3350 : 700);  // at the end: less than a fifth of a second before it
+    c->conn->read();
+    p.until([&] { return p.answered(); });
+    for (const auto& id : ids) EXPECT_EQ(p.answer(id).substr(0, 7 + id.size()), "$value-" + id);
+  }
+  EXPECT_EQ(p.ended(), 0);
+}
+
 // A command on a resting connection in the moment in which the head shuts it: read off, so that nothing is
 // reset, and not sent on.
 TEST_F(Serving, AConnectionThatTheHeadEndsIsReadOffNotReset) {
