Cold nodes: trials keep to the fleet's part as well, a second start forgets what the first one proved

Cause: Desk::trial let each head send to a shut cold node whenever it had not lately, so the sum grew with the heads; Desk::listed kept `done` of the life before, which bears() takes for proof of more. No constant changed. A head's part goes by how many nodes it has use for on average (reach_), not by its use for this one.

--- a/src/rules/rules.cpp
+++ b/src/rules/rules.cpp
@@ -198,12 +198,15 @@
   }
 
   bool room(Node& n, double units) {
-    if (shut(n)) return false;
-    if (n.out >= kMostOut || (n.load > 0 && n.load + units > cap(n))) return false;
+    const bool full = n.out >= kMostOut || (n.load > 0 && n.load + units > cap(n));
+    return !shut(n) && !full && bears(n, units);
+  }
+
+  // Guards a cold node against all heads together: each keeps to its part of what is surely borne, among as
+  // many heads as have use for a node at one time (by how many nodes this one has). Where the part is less
+  // than one request, heads take turns by number. Harms when the others have no use for it.
+  bool bears(Node& n, double units) {
     if (!cold(n)) return true;
-    // Guards a cold node against all heads together: each keeps to its part of what is surely borne, among as
-    // many heads as have use for a node at one time (by how many nodes this one has). Where the part is less
-    // than one request, heads take turns by number. Harms when the others have no use for it.
     const double used = n.sent.sum(now_, given_.overload_for);
     const double part =
         given_.cold_bears * kColdMargin * warmth(n) / cold_from_ / std::max(1.0, heads_ * reach_);
@@ -286,8 +289,8 @@
   }
 
   bool trial(Node& n, const Bio& b) {
-    return (groups_[b.io.group].repeat == Repeat::idempotent || (b.submits == 0 && rarely_tried(n))) &&
-           !(cold(n) && n.sent.sum(now_, given_.overload_for) > 0) && trial_due(n);
+    const bool may = groups_[b.io.group].repeat == Repeat::idempotent || (b.submits == 0 && rarely_tried(n));
+    return may && bears(n, b.io.units) && trial_due(n);
   }
 
   int node_of_shard(int shard) const {
@@ -320,10 +323,7 @@
   // Harms when one big block I/O was the slow one: then new objects pass by the node for a moment.
   double weight(const Node& n) const { return std::max(n.load, mean_rate_ * std::max(n.lag, silence(n))); }
 
-  bool told(int plan, int node) const {
-    const std::vector<int>& nodes = due_[plan].nodes;
-    return std::find(nodes.begin(), nodes.end(), node) != nodes.end();
-  }
+  bool told(int plan, int node) const { return std::ranges::count(due_[plan].nodes, node) > 0; }
 
   int home_of(std::uint64_t object, int plan) {
     homes_.clear();
@@ -487,8 +487,7 @@
   }
 
   void hold(int at) {
-    Bio& b = bios_[at];
-    b.held = true;
+    bios_[at].held = true;
     joined_.push_back(at);
   }
 
@@ -615,7 +614,7 @@
     if (n.name.empty()) n.name = e.name;
     if (e.up_since > n.up_since && n.up_since + n.heard > 0) {  // restarted: what was learned is of its past
       n.served = n.busy = n.lag = n.wait = 0;
-      n.fit = {};
+      n.fit = {}, n.done = {};
       n.strikes = 0;
       n.mute = false;
     }
