--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -120,6 +120,31 @@
   EXPECT_EQ(once().substr(0, 6), "$value");
 }
 
+// Every place at which a command or an answer can come apart.
+TEST_F(Serving, CommandsAndAnswersInTwoPiecesAreWholeWhereverTheyAreCut) {
+  p.start();
+  std::size_t cut = 0;
+  p.on_command = [&](int, Conn& c, const Words& w) {
+    for (auto& r : p.record.runs) r.value |= r.id == w[2];
+    const std::string all = p.value(w[2]);
+    c.send(all.substr(0, cut % all.size()));
+    auto timer = std::make_shared<asio::steady_timer>(p.io, std::chrono::milliseconds(3));
+    timer->async_wait([=, conn = c.shared_from_this(), at = cut % all.size()](auto) {
+      (void)timer;
+      conn->send(all.substr(at));
+    });
+  };
+  auto c = p.client();
+  std::size_t size = 1;
+  for (; cut < size; ++cut) {
+    const std::string id = p.ask(*c, cut % 2, static_cast<int>(cut % 3), 2000, "body", cut);
+    size = c->size;
+    ASSERT_TRUE(p.until([&] { return p.answered(); })) << cut;
+    ASSERT_EQ(p.answer(id), "$value-" + id) << cut;
+  }
+  EXPECT_GT(size, 120u);
+}
+
 TEST_F(Serving, HalfACommandAndSilenceAreClosedInTime) {
   p.start();
   auto silent = p.connect(), half = p.connect();
@@ -500,6 +525,49 @@
   EXPECT_EQ(once(false, 0).substr(0, 6), "$value");
 }
 
+// A node begins to drain in the moment in which the watch is reset: nothing new to it after the grace.
+TEST_F(Serving, ADrainThatBeginsAsTheWatchIsResetIsHeardInTime) {
+  p.start();
+  ASSERT_TRUE(p.until([&] { return !p.waiting.empty(); }, 1000));
+  p.add_node(0);
+  p.states[0] = "Terminating";
+  ++p.version;
+  p.record.told_away[0] = Clock::now();
+  for (auto& c : std::exchange(p.waiting, {})) c->reset();
+  const auto from = Clock::now();
+  while (ms_since(from) < 1800) {
+    EXPECT_EQ(once(false, 0).substr(0, 6), "$value");
+    p.idle(20);
+  }
+  EXPECT_EQ(p.record.runs.back().node, 3);
+}
+
+// Discovery is down, idle clients hold every descriptor that they can get: the head is ready from the list it
+// knew, serves those who ask, and hears discovery once it is back.
+TEST_F(Serving, WithDiscoveryDownAndIdleClientsEverywhereItServesAndHearsItsReturn) {
+  p.config["limits"]["sockets"] = 64;
+  const auto at = p.list->acceptor.local_endpoint();
+  p.list.reset();  // refused from now on
+  p.write_config();
+  p.start();
+  std::vector<std::shared_ptr<Conn>> idle;
+  for (int i = 0; i < 150; ++i) {
+    idle.push_back(p.connect());
+    if (i % 30 == 29) {
+      EXPECT_EQ(once(false, i % 3).substr(0, 6), "$value");
+    }
+  }
+  p.add_node(7);
+  ++p.version;
+  p.list = p.serve_list(at.port());
+  const auto from = Clock::now();
+  std::string got;
+  while (got.substr(0, 6) != "$value" && ms_since(from) < 6000) got = once(false, 7, 300);
+  EXPECT_EQ(got.substr(0, 6), "$value");
+  EXPECT_LT(ms_since(from), 6000);
+  EXPECT_EQ(kill(p.head, 0), 0);
+}
+
 // One silence after another, each where the last one was overcome: told within six seconds all the same.
 TEST_F(Serving, AChangeIsTakenWithinSixSecondsThroughSilenceAfterSilence) {
   p.start();
--- a/tests/support/platform.h
+++ b/tests/support/platform.h
@@ -111,7 +111,9 @@
 
 struct Server {
   Server(asio::io_context& io, std::function<void(std::shared_ptr<Conn>)> taken)
-      : acceptor(io, {asio::ip::address_v4::loopback(), 0}), taken(std::move(taken)) {
+      : Server(io, 0, std::move(taken)) {}
+  Server(asio::io_context& io, std::uint16_t port, std::function<void(std::shared_ptr<Conn>)> taken)
+      : acceptor(io, {asio::ip::address_v4::loopback(), port}), taken(std::move(taken)) {
     accept();
   }
   void accept() {
@@ -197,8 +199,8 @@
           made |= r.value && a.answers[0] == "$value-" + id;
           const auto spent = std::chrono::duration_cast<std::chrono::milliseconds>(r.at - a.at).count();
           if (r.wait > a.wait - spent + kToldSlack)
-            return "a node was told " + std::to_string(r.wait) + " ms for " + id + " of which the client has " +
-                   std::to_string(a.wait - spent) + " left";
+            return "a node was told " + std::to_string(r.wait) + " ms for " + id +
+                   " of which the client has " + std::to_string(a.wait - spent) + " left";
         }
       if (a.answers[0][0] == '$' && !made) return "rule 1: " + id + " was given what no node made";
       if (a.effect && count > 1) return "rule 2: " + id + " ran " + std::to_string(count) + " times";
@@ -267,8 +269,8 @@
     states.push_back("Ready");
     cells.push_back(cell);
   }
-  std::unique_ptr<Server> serve_list() {
-    return std::make_unique<Server>(io, [this](std::shared_ptr<Conn> c) {
+  std::unique_ptr<Server> serve_list(std::uint16_t port = 0) {
+    return std::make_unique<Server>(io, port, [this](std::shared_ptr<Conn> c) {
       c->on_bytes = [this](Conn& c) {
         for (std::size_t end; (end = c.in.find("\r\n\r\n")) != std::string::npos;) {
           const std::string target = c.in.substr(4, c.in.find(' ', 4) - 4);
@@ -403,6 +405,7 @@
   struct Client {
     std::shared_ptr<Conn> conn;
     std::vector<std::string> open;
+    std::size_t size = 0;  // of the last command
     bool closed() const { return conn->gone; }
   };
   std::shared_ptr<Client> client(bool reads = true) {
@@ -423,7 +426,7 @@
     return c;
   }
   std::string ask(Client& c, bool write = false, int cell = 0, long wait = 2000,
-                  const std::string& body = "body") {
+                  const std::string& body = "body", std::size_t cut = 0) {
     char id[17];
     std::snprintf(id, sizeof id, "%016x", ++last_);
     Words words{write ? "BLK.WRITE" : "BLK.READ", "7f3a9c21e0b4d655", id,
@@ -432,7 +435,15 @@
     if (write) words.push_back(body);
     c.open.push_back(id);
     record.asked[id] = {Clock::now(), wait, write, {}, {}};
-    c.conn->send(array_of(words));
+    const std::string all = array_of(words);
+    c.size = all.size();
+    if (cut > 0 && cut < all.size()) {
+      c.conn->send(all.substr(0, cut));
+      idle(2);
+      c.conn->send(all.substr(cut));
+    } else {
+      c.conn->send(all);
+    }
     return id;
   }
   const std::string& answer(const std::string& id) {
