--- a/tests/rules/fleet_test.cpp
+++ b/tests/rules/fleet_test.cpp
@@ -9,27 +9,19 @@
 #include <unordered_map>
 #include <vector>
 
-#include "rules.h"
+#include "bench_free.h"
 
 namespace yewmount::tests {
 namespace {
 
-constexpr Micros kMs = 1000, kSecond = 1'000'000, kStep = 5 * kMs;
+constexpr Micros kStep = 5 * ms;
 const std::vector<std::string> kNames = {"n00", "n01", "n02", "n03", "n04", "n05",
                                          "n06", "n07", "n08", "n09", "n10", "n11"};
 constexpr int kCold = 5;  // the node that comes up
 
 Provisioning provisioned(int heads) {
-  Provisioning p{};
+  Provisioning p = usual();
   p.heads = heads;
-  p.groups = {
-      {300 * kMs, 2 * kSecond, 5 * kSecond, 0, 2, 0.2, Repeat::idempotent, Scope::all, false, false},
-      {600 * kMs, 3 * kSecond, 5 * kSecond, 0, 2, 0.2, Repeat::side_effecting, Scope::all, false, false}};
-  p.plans = {{0, 0, 0, 6, 0, 1, 0.8}, {0, 0, 0, 12, 12, 1, 1.4}};
-  p.cold_bears = 28, p.usual_units = 2, p.most_units = 6, p.share_gain = 0.35, p.beyond_gain = 0.08;
-  p.may_cancel = true, p.most_submits = 3, p.answer_slack = 8 * kMs, p.ask_every = -1;
-  p.cold_from = 0.17, p.fall_multiple = 4, p.warm_within = 16 * kSecond, p.overload_for = 3 * kSecond;
-  p.turn_rest = p.budget_span = -1, p.budget_spare = p.budget_share = -1;
   return p;
 }
 
@@ -121,9 +113,9 @@
   }
 
   void run() {
-    const Micros start = 8 * kSecond, again = day_.again_after > 0 ? start + day_.again_after : 0;
+    const Micros start = 8 * second, again = day_.again_after > 0 ? start + day_.again_after : 0;
     std::vector<Micros> tell(members_.size());
-    for (now_ = 0; now_ < start + day_.again_after + 10 * kSecond; now_ += kStep) {
+    for (now_ = 0; now_ < start + day_.again_after + 10 * second; now_ += kStep) {
       if (now_ == start || now_ == again) {
         up_ = now_;
         checker.up(now_);
@@ -200,11 +192,11 @@
       checker.sent(now_, bio.units, m.told);
       const double age = std::min(1.0, static_cast<double>(now_ - up_) / static_cast<double>(p_.warm_within));
       speed = warm_ * (p_.cold_from + (1 - p_.cold_from) * age);
-      if (day_.bad && now_ - up_ < 4 * kSecond) result = Result::lost;
+      if (day_.bad && now_ - up_ < 4 * second) result = Result::lost;
     }
     Micros& free = free_at_[node];
     free = std::max(free, now_) + static_cast<Micros>(bio.units / speed);
-    const Micros at = result == Result::ended ? free : now_ + kMs;
+    const Micros at = result == Result::ended ? free : now_ + ms;
     due_.push_back({at, &m, id, bio.submits++, node, result, now_});
   }
 
@@ -268,13 +260,13 @@
 
 TEST_P(ColdNodes, UnderUsualTraffic) { play({.load = 2}); }
 TEST_P(ColdNodes, ToldAtDifferentTimesUnderABurst) {
-  play({.load = 2.2, .burst = 2, .told_within = 2 * kSecond, .hot = true});
+  play({.load = 2.2, .burst = 2, .told_within = 2 * second, .hot = true});
 }
 TEST_P(ColdNodes, AsAllHeadsRestart) { play({.load = 2.2, .burst = 1.5, .restart = true, .hot = true}); }
 TEST_P(ColdNodes, ThatFailAtFirstAreTriedByFewAtOnce) {
   play({.load = 2.2, .burst = 1.5, .bad = true, .hot = true});
 }
-TEST_P(ColdNodes, Twice) { play({.load = 2.2, .burst = 1.5, .again_after = 7 * kSecond, .hot = true}); }
+TEST_P(ColdNodes, Twice) { play({.load = 2.2, .burst = 1.5, .again_after = 7 * second, .hot = true}); }
 INSTANTIATE_TEST_SUITE_P(Heads, ColdNodes, ::testing::Values(20, 30, 300));
 
 // The checker itself: what is one too many is found, what heads that had not been told sent is not theirs.
