--- a/src/rules/rules.cpp
+++ b/src/rules/rules.cpp
@@ -91,6 +91,8 @@
     double size = 1, load = 0, probability = 0;
     double served = 0, busy = 0, lag = 0, wait = 0, ahead = 0, price = 0;
     Micros up_since = 0, clocked = 0, heard = 0, oldest = 0, tried = 0, fine = 0;
+    Micros wanted_at = -1;  // last moment in which a request for it was sent or waited here; -1: never
+    double demand = -1;     // part of recent time in which this head had use for it; -1: not listed before
     bool blocked = false;
     SlidingSum sent, done;
     std::uint64_t seen = 0;                             // the turn that the next line was reckoned in
@@ -129,6 +131,7 @@
     n.load += units;
     ++n.out;
     n.sent.add(now_, given_.overload_for, units);
+    n.wanted_at = now_;
     const int m = fit_count();
     if (m < 2 || !n.listed) return;
     const double lost = n.probability * (1 - std::exp(-n.load));
@@ -202,14 +205,18 @@
     return !shut(n) && !full && bears(n, units);
   }
 
+  // How many heads have use for a node at one time, judged by this head's own use: of nodes on average, or of
+  // this one where it asks more for it. What waits counts as well as what is sent: the turns that hold it
+  // back would look like want of use otherwise.
+  double competing_heads(const Node& n) const { return std::max(1.0, heads_ * std::max(reach_, n.demand)); }
+
   // Guards a cold node against all heads together: each keeps to its part of what is surely borne, among as
-  // many heads as have use for a node at one time (by how many nodes this one has). Where the part is less
-  // than one request, heads take turns by number. Harms when the others have no use for it.
+  // many heads as have use for it at one time. Where the part is less than one request, heads take turns by
+  // number. Harms when the others have no use for it.
   bool bears(Node& n, double units) {
     if (!cold(n)) return true;
     const double used = n.sent.sum(now_, given_.overload_for);
-    const double part =
-        given_.cold_bears * kColdMargin * warmth(n) / cold_from_ / std::max(1.0, heads_ * reach_);
+    const double part = given_.cold_bears * kColdMargin * warmth(n) / cold_from_ / competing_heads(n);
     // What it served this head lately is proof of more: if all heads keep to it, all stay under the multiple.
     const double proven = given_.fall_multiple * kColdProven * n.done.sum(now_, given_.overload_for);
     const int turns = std::clamp(static_cast<int>(std::ceil(given_.usual_units / part)), 1, heads_);
@@ -612,6 +619,7 @@
     if (e.node >= static_cast<int>(nodes_.size())) nodes_.resize(e.node + 1);
     Node& n = nodes_[e.node];
     if (n.name.empty()) n.name = e.name;
+    if (n.demand < 0) n.demand = reach_;  // a new one is wanted as much as the others are
     if (e.up_since > n.up_since && n.up_since + n.heard > 0) {  // restarted: what was learned is of its past
       n.served = n.busy = n.lag = n.wait = 0;
       n.fit = {}, n.done = {};
@@ -743,6 +751,7 @@
     Bio& b = bios_[at];
     if (!b.held || b.over) continue;
     int node = b.io.shard >= 0 ? node_of_shard(b.io.shard) : -1;
+    if (node >= 0) nodes_[node].wanted_at = now_;
     const bool dear = node >= 0 && priced_out(b, nodes_[node]);
     if (now_ >= b.goal_at || (b.submits == 0 && dear)) {
       give_up(b);
@@ -822,8 +831,11 @@
     return l.until <= now_;
   });
   double served = 0, busy = 0, used = 0;
+  const double usage_step = kTick / (2.0 * given_.overload_for);
   for (Node& n : nodes_) {
     n.oldest = 0;
+    const bool wanted = n.wanted_at >= 0 && now_ - n.wanted_at < given_.overload_for;
+    n.demand += ((wanted ? 1.0 : 0.0) - n.demand) * usage_step;
     if (!shut(n)) n.fine = now_;
     used += n.sent.sum(now_, given_.overload_for) > 0;
     n.price *= std::exp(-static_cast<double>(kTick) / (kPriceMemory * tightest_goal_));
@@ -832,7 +844,7 @@
   }
   if (busy > 0) mean_rate_ = served / busy;
   const double of = used / std::max<double>(1, fit_count());
-  reach_ += (std::min(1.0, of) - reach_) * kTick / (2.0 * given_.overload_for);
+  reach_ += (std::min(1.0, of) - reach_) * usage_step;
   for (; !rests_.empty() && rests_.front().first <= now_; rests_.pop_front()) {
     auto line = lines_.find(rests_.front().second);
     if (line != lines_.end() && line->second.first < 0 && now_ >= line->second.rest_until) lines_.erase(line);
