--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -167,6 +167,33 @@
   EXPECT_EQ(runs(id), 1);
 }
 
+// A fingerprinted command may be sent again only while its node still remembers the first try. The further one
+// is decided in time here, but its connection comes up after the memory has ended.
+TEST_F(Serving, AFurtherSubmitWhoseConnectionComesUpAfterTheWindowIsNotSent) {
+  auto& group = p.config["settings"]["classes"][1];
+  group["idempotency"] = "idempotency_key";
+  group["memory-span-s"] = 0.5;
+  group["objective-s"] = 2.5;
+  p.config["settings"]["limits"]["connect-timeout-s"] = 2.0;
+  p.start();
+  std::vector<Clock::time_point> began;
+  p.on_command = [&](int node, Conn& c, const Words& w) {
+    began.push_back(Clock::now());
+    if (began.size() > 1) return p.give(c, w);
+    p.nodes[node]->hold();  // the next connection is in the making for a second
+    c.reset();
+  };
+  auto c = p.client();
+  const std::string id = p.ask(*c, true, 0, 3000);
+  ASSERT_TRUE(p.until([&] { return began.size() == 1; }));
+  p.idle(300);
+  p.nodes[0]->let_on();
+  ASSERT_TRUE(p.until([&] { return p.answered(); }));
+  for (std::size_t i = 1; i < began.size(); ++i)
+    EXPECT_LT(began[i] - began[0], std::chrono::milliseconds(500)) << "the node has forgotten the first try";
+  p.record.asked[id].effect = false;  // a repeat in time would have been none
+}
+
 // Every way an answer can be spoilt: a failed submit that may have run. What may be repeated is; a write
 // isn't.
 TEST_F(Serving, SpoiltAnswersAreFailedSubmitsThatMayHaveRun) {
@@ -304,6 +331,51 @@
 
 // Closed and half-closed look the same to the head: what has begun is answered for one that still reads, what
 // has not is turned back.
+// Reading is held back behind 32 open commands and 256 KiB that wait; what comes then stays in the socket. Its
+// time runs all the same: a node is never told more than its client has left.
+TEST_F(Serving, TimeThatACommandSpentUnreadInTheSocketIsNotTheNodes) {
+  for (auto& group : p.config["settings"]["classes"]) group["objective-s"] = 2.5;
+  p.start();
+  std::vector<std::pair<std::shared_ptr<Conn>, Words>> held;
+  bool holds = true;
+  p.on_command = [&](int, Conn& c, const Words& w) {
+    if (!holds) return p.give(c, w);
+    held.emplace_back(c.shared_from_this(), w);
+  };
+  auto c = p.client();
+  for (int i = 0; i < 32; ++i) p.ask(*c, false, i % 3, 3000);
+  ASSERT_TRUE(p.until([&] { return held.size() >= 3; }));
+  for (int i = 0; i < 5; ++i) p.ask(*c, true, i % 3, 3000, std::string(65536, 'b'));
+  p.idle(50);
+  const std::string last = p.ask(*c, false, 0, 1500);
+  p.idle(800);
+  holds = false;
+  for (auto& [conn, words] : held) p.give(*conn, words);
+  ASSERT_TRUE(p.until([&] { return p.answered(); }));
+  EXPECT_EQ(p.answer(last), "$value-" + last) << "it had time enough";
+}
+
+// The same where a newcomer has to wait for a descriptor.
+TEST_F(Serving, TimeThatANewcomerWaitedForItsPlaceIsNotTheNodes) {
+  p.config["limits"]["sockets"] = 64;  // 20 for clients
+  for (auto& group : p.config["settings"]["classes"]) group["objective-s"] = 2.5;
+  p.start();
+  std::vector<std::pair<std::shared_ptr<Conn>, Words>> held;
+  p.on_command = [&](int, Conn& c, const Words& w) { held.emplace_back(c.shared_from_this(), w); };
+  std::vector<std::shared_ptr<Platform::Client>> others;
+  for (int i = 0; i < 20; ++i) {
+    others.push_back(p.client());
+    p.ask(*others.back(), false, i % 3, 3000);
+  }
+  ASSERT_TRUE(p.until([&] { return held.size() >= 3; }));
+  auto newcomer = p.client();
+  p.ask(*newcomer, false, 0, 1500);
+  p.idle(400);
+  p.on_command = nullptr;
+  for (auto& [conn, words] : held) p.give(*conn, words);
+  ASSERT_TRUE(p.until([&] { return p.answered(); }));
+}
+
 TEST_F(Serving, AClientThatEndsItsSendingStillGetsItsAnswers) {
   p.start();
   std::vector<std::pair<std::shared_ptr<Conn>, Words>> held;
