--- a/benchlink/link.cpp
+++ b/benchlink/link.cpp
@@ -198,10 +198,10 @@
 void Seat::submit(std::uint64_t id, int node, Micros try_for) {
   say("Relay", {{"ticket", ticket_text(id)}, {"shelf", nodes_.name(node)}, {"try-for-s", seconds(try_for)}});
 }
-void Seat::shed(std::uint64_t id, Micros come_back_after) {
+void Seat::shed(std::uint64_t id, Micros come_back_after, GiveUp) {
   say("PushBack", {{"ticket", ticket_text(id)}, {"retry-after-s", seconds(come_back_after)}});
 }
-void Seat::fail(std::uint64_t id) { say("ReportFailure", {{"ticket", ticket_text(id)}}); }
+void Seat::fail(std::uint64_t id, GiveUp) { say("ReportFailure", {{"ticket", ticket_text(id)}}); }
 void Seat::cancel(std::uint64_t id, int submit) {
   say("Retract", {{"ticket", ticket_text(id)}, {"seq-no", submit}});
 }
--- a/benchlink/link.h
+++ b/benchlink/link.h
@@ -30,8 +30,8 @@
   std::string take_reply() { return std::exchange(reply_, {}); }
 
   void submit(std::uint64_t id, int node, Micros try_for) override;
-  void shed(std::uint64_t id, Micros come_back_after) override;
-  void fail(std::uint64_t id) override;
+  void shed(std::uint64_t id, Micros come_back_after, GiveUp) override;
+  void fail(std::uint64_t id, GiveUp) override;
   void cancel(std::uint64_t id, int submit) override;
   void wake(std::uint64_t token, Micros from_now) override;
   void fetch_list() override;
--- a/src/base/base.cpp
+++ b/src/base/base.cpp
@@ -70,6 +70,8 @@
   return false;
 }
 
+bool debugging() { return logger && logger->should_log(spdlog::level::debug); }
+
 void debug(std::string_view e, const nlohmann::ordered_json& f) { say(spdlog::level::debug, e, f); }
 void info(std::string_view e, const nlohmann::ordered_json& f) { say(spdlog::level::info, e, f); }
 void warn(std::string_view e, const nlohmann::ordered_json& f) { say(spdlog::level::warn, e, f); }
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -22,6 +22,7 @@
 // "info", "warn", "error"; false if it is none of these.
 void start(std::string_view program, std::string_view name);
 bool level(std::string_view level);
+bool debugging();  // whether debug lines are written: asked where their fields cost something
 void debug(std::string_view event, const nlohmann::ordered_json& fields = {});
 void info(std::string_view event, const nlohmann::ordered_json& fields = {});
 void warn(std::string_view event, const nlohmann::ordered_json& fields = {});
--- a/src/callers/callers.cpp
+++ b/src/callers/callers.cpp
@@ -1,6 +1,7 @@
 #include "callers/callers.h"
 
 #include <algorithm>
+#include <optional>
 
 #include "base/base.h"
 
@@ -20,26 +21,38 @@
 // Beyond the clients' part of the descriptors: lingering ones give way first, newcomers wait a little.
 constexpr std::size_t kLingerers = 6, kLobby = 6;
 constexpr Micros kLobbyWait = kSecond / 2;
+// What is read longer after the last quiet moment counts as come then: this process stood still, or has more
+// to handle than it can.
+constexpr Micros kPrompt = 20'000;
 
 }  // namespace
 
 class Callers::Session : public net::Stream {
  public:
-  Session(asio::ip::tcp::socket socket, Callers& owner, int number, std::uint64_t token)
-      : Stream(std::move(socket)), owner_(owner), number_(number), token_(token) {}
+  // unread_since: when bytes may have begun to wait in the socket; 0: none do.
+  Session(asio::ip::tcp::socket socket, Callers& owner, int number, std::uint64_t token, Micros unread_since)
+      : Stream(std::move(socket)),
+        owner_(owner),
+        number_(number),
+        token_(token),
+        unread_since_(unread_since) {}
 
   std::uint64_t token() const { return token_; }
   bool quiet() const { return slots_.empty() && held_.empty() && pending() == 0; }
   bool spoke() const { return spoke_; }
+  std::size_t unanswered() const {
+    return static_cast<std::size_t>(std::ranges::count(slots_, false, &Slot::done));
+  }
   Micros used() const { return used_; }
 
-  void answer(std::uint64_t turn, std::string_view bytes) {
-    if (turn < first_ || turn - first_ >= slots_.size()) return;
+  // False where the command has its answer already.
+  bool answer(std::uint64_t turn, std::string_view bytes) {
+    if (turn < first_ || turn - first_ >= slots_.size() || slots_[turn - first_].done) return false;
     Slot& slot = slots_[turn - first_];
     slot.done = true;
     if (turn != first_) {
       slot.answer = bytes;
-      return;
+      return true;
     }
     out() += bytes;
     std::size_t n = 1;
@@ -47,6 +60,7 @@
     slots_.erase(slots_.begin(), slots_.begin() + static_cast<std::ptrdiff_t>(n));
     first_ += n;
     used_ = monotonic_now();
+    return true;
   }
 
   // What can't be read: an error line in its turn, and nothing more is taken.
@@ -62,7 +76,7 @@
   // Commands that had to wait.
   void go_on() {
     if (refused_ || over_ || !full_) return;
-    take({});
+    take({}, monotonic_now());
   }
 
   void flushed() {
@@ -71,22 +85,21 @@
     if (open()) moved();
   }
 
-  // Whether it is to be closed now; counted by why.
-  bool overdue(Micros now) {
-    Counts& c = owner_.counts_;
+  // Why it is to be closed now, if it is.
+  std::optional<CloseReason> overdue(Micros now) {
     if (pending() == 0) moved_ = now;
     if (handed() != told_) told_ = handed(), moved_ = now;
-    if (now - moved_ > kStalled) return ++c.stalled;
+    if (now - moved_ > kStalled) return CloseReason::stalled;
     // Reading is held back while too much waits: an end behind it is looked for.
     if (held_back_ && !over_ && hung_up()) ended();
-    if (refused_ || !slots_.empty()) return false;
+    if (refused_ || !slots_.empty()) return {};
     if (!held_.empty() && !full_ && now - begun_ > kSpeakWithin) {
       refuse("a command that doesn't end");
-      return false;
+      return {};
     }
     const bool silent = spoke_ ? quiet() && now - used_ > kIdle : now - began_ > kSpeakWithin;
-    if (!silent || (quiet() && unread())) return false;
-    return ++c.silent;
+    if (!silent || (quiet() && unread())) return {};
+    return CloseReason::silent;
   }
 
   // Whole commands that had to wait and now never will be asked get the protocol's word for "has not run".
@@ -125,7 +138,7 @@
 
   Caller caller(std::uint64_t turn) const { return {number_, token_, turn}; }
   std::span<char> room() override { return net::shared_room(); }
-  void lost(const std::error_code&) override { owner_.let_go(number_); }
+  void lost(const std::error_code&) override { owner_.let_go(number_, CloseReason::broken); }
 
   void turn_back(std::string_view line) {
     slots_.emplace_back();
@@ -158,7 +171,8 @@
 
   // What had to wait for the client to take its answers goes on.
   void moved() override {
-    if (slots_.empty() && pending() == 0 && (refused_ || over_)) return owner_.let_go(number_);
+    if (slots_.empty() && pending() == 0 && (refused_ || over_))
+      return owner_.let_go(number_, refused_ ? CloseReason::unreadable : CloseReason::ended);
     // What a burst of long answers needed is not kept.
     if (pending() == 0 && out().capacity() > kMostPending) out() = {};
     if (full_ && !full()) owner_.waiting_.push_back(caller(0));
@@ -167,22 +181,22 @@
   bool full() const { return slots_.size() >= kMostOpen || pending() >= kMostPending; }
 
   void came(std::size_t bytes) override {
-    if (!refused_) take({net::shared_room().data(), bytes});
+    const Micros arrived = unread_since_ > 0 ? unread_since_ : owner_.arrival();
+    if (bytes < net::kReadBytes) unread_since_ = 0;  // nothing is left in the socket
+    if (!refused_) take({net::shared_room().data(), bytes}, arrived);
   }
 
   // An exception in one connection ends that connection only.
-  void take(std::string_view bytes) {
+  void take(std::string_view bytes, Micros arrived) {
     try {
-      cut(bytes);
+      cut(bytes, arrived);
     } catch (const std::exception& e) {
-      ++owner_.counts_.thrown;
       logs::warn("connection ended", {{"why", e.what()}});
-      owner_.let_go(number_);
+      owner_.let_go(number_, CloseReason::exception);
     }
   }
 
-  void cut(std::string_view bytes) {
-    const Micros now = monotonic_now();
+  void cut(std::string_view bytes, Micros arrived) {
     const std::size_t before = held_.size();
     if (before > 0) held_ += bytes;
     const std::string_view all = before > 0 ? std::string_view(held_) : bytes;
@@ -198,16 +212,18 @@
       begun_ = 0;
       spoke_ = true;
       slots_.emplace_back();
-      owner_.service_.asked(caller(first_ + slots_.size() - 1), command, used > before ? now : came_at(used));
+      owner_.service_.asked(caller(first_ + slots_.size() - 1), command,
+                            used > before ? arrived : came_at(used));
     }
-    keep(all.substr(used), used, now);
+    keep(all.substr(used), used, arrived);
     count_ahead();
     held_back_ = full_ && (held_.size() > kMostAhead || owner_.ahead_ > owner_.most_ahead_);
+    if (held_back_ && unread_since_ == 0) unread_since_ = monotonic_now();
     hold_reading(held_back_);
   }
 
   // What is left for later, and when its parts came.
-  void keep(std::string_view rest, std::size_t used, Micros now) {
+  void keep(std::string_view rest, std::size_t used, Micros arrived) {
     if (rest.empty()) {
       held_ = {};
       parts_.clear();
@@ -221,8 +237,8 @@
       p.end -= std::min(p.end, used);
       return p.end == 0;
     });
-    if (parts_.empty() || parts_.back().end < held_.size()) parts_.push_back({held_.size(), now});
-    if (begun_ == 0) begun_ = now;
+    if (parts_.empty() || parts_.back().end < held_.size()) parts_.push_back({held_.size(), arrived});
+    if (begun_ == 0) begun_ = monotonic_now();
   }
 
   Micros came_at(std::size_t end) const {
@@ -246,6 +262,7 @@
   std::size_t ahead_ = 0;    // of it, as counted by the owner
   bool spoke_ = false, full_ = false, held_back_ = false, refused_ = false, over_ = false;
   Micros began_ = monotonic_now(), used_ = began_, moved_ = began_, begun_ = 0;
+  Micros unread_since_;  // bytes may wait in the socket from then on; 0: none do
 };
 
 Callers::Callers(asio::io_context& io, const asio::ip::tcp::endpoint& at, std::size_t most,
@@ -263,7 +280,7 @@
 
 // A newcomer waits a little where no connection can make room for it at once.
 void Callers::taken(asio::ip::tcp::socket socket) {
-  if (live_.size() < most_ || make_room()) return admit(std::move(socket));
+  if (live_.size() < most_ || make_room()) return admit(std::move(socket), 0);
   if (lobby_.size() >= kLobby) {
     ++counts_.turned_back;
     lobby_.pop_front();  // the socket closes
@@ -271,10 +288,10 @@
   lobby_.emplace_back(monotonic_now() + kLobbyWait, std::move(socket));
 }
 
-void Callers::admit(asio::ip::tcp::socket socket) {
+void Callers::admit(asio::ip::tcp::socket socket, Micros waiting_since) {
   const int at = sessions_.claim();
   live_.add(at);
-  sessions_[at] = std::make_shared<Session>(std::move(socket), *this, at, ++last_token_);
+  sessions_[at] = std::make_shared<Session>(std::move(socket), *this, at, ++last_token_, waiting_since);
   sessions_[at]->start();
 }
 
@@ -295,15 +312,14 @@
     }
     if (worst < 0) return false;
     if (!sessions_[worst]->unread()) {
-      ++counts_.evicted;
-      let_go(worst);
+      let_go(worst, CloseReason::evicted);
       return true;
     }
     in_use.push_back(worst);
   }
 }
 
-Callers::Session* Callers::find(const Caller& caller) {
+Callers::Session* Callers::find(const Caller& caller) const {
   if (caller.session < 0) return nullptr;
   Session* session = sessions_[caller.session].get();
   return session && session->token() == caller.token ? session : nullptr;
@@ -311,11 +327,24 @@
 
 void Callers::answer(const Caller& caller, std::string_view bytes) {
   if (Session* session = find(caller)) {
-    session->answer(caller.turn, bytes);
+    if (!session->answer(caller.turn, bytes)) {
+      ++counts_.answered_again;
+      logs::error("violation: a second answer", {{"connection", caller.token}, {"turn", caller.turn}});
+    }
     dirty_.push_back(caller);
   }
 }
 
+bool Callers::hung_up(const Caller& caller) const {
+  Session* session = find(caller);
+  return !session || session->hung_up();
+}
+
+Micros Callers::arrival() const {
+  const Micros now = monotonic_now();
+  return caught_up_ > 0 && now - caught_up_ > kPrompt ? caught_up_ : now;
+}
+
 void Callers::error(const Caller& caller, std::string_view why) {
   std::string line = "-ERR ";
   answer(caller, (line += why) += "\r\n");
@@ -331,7 +360,7 @@
     if (Session* session = find(c)) session->go_on();
   resuming_.clear();
   while (!lobby_.empty() && (live_.size() < most_ || make_room())) {
-    admit(std::move(lobby_.front().second));
+    admit(std::move(lobby_.front().second), lobby_.front().first - kLobbyWait);
     lobby_.pop_front();
   }
 }
@@ -343,8 +372,20 @@
   flushing_.clear();
 }
 
-void Callers::let_go(int at) {
+void Callers::let_go(int at, CloseReason reason) {
   const std::shared_ptr<Session> session = std::move(sessions_[at]);
+  const std::size_t unanswered = session->unanswered();
+  ++counts_.closed[static_cast<std::size_t>(reason)];
+  if (logs::debugging())
+    logs::debug("client closed", {{"connection", session->token()},
+                                  {"why", permits::kCloseReasons[static_cast<std::size_t>(reason)]},
+                                  {"unanswered", unanswered},
+                                  {"pending", session->pending()}});
+  if (!permits::may_close(reason, unanswered)) {
+    ++counts_.closed_unanswered;
+    logs::error("violation: closed unanswered",
+                {{"connection", session->token()}, {"unanswered", unanswered}});
+  }
   live_.drop(at);
   sessions_.release(at);
   session->leave([&](const Caller& c) { service_.left(c); });
@@ -361,7 +402,7 @@
 void Callers::sweep(Micros now) {
   std::vector<int> all(live_.begin(), live_.end());
   for (int s : all)
-    if (sessions_[s]->overdue(now)) let_go(s);
+    if (const auto reason = sessions_[s]->overdue(now)) let_go(s, *reason);
   std::erase_if(lingering_, [&](auto& one) {
     if (one.first <= now) one.second->close();
     return !one.second->open();
@@ -375,14 +416,14 @@
 void Callers::close_idle() {
   std::vector<int> all(live_.begin(), live_.end());
   for (int s : all)
-    if (sessions_[s]->quiet() && !sessions_[s]->unread()) let_go(s);
+    if (sessions_[s]->quiet() && !sessions_[s]->unread()) let_go(s, CloseReason::idle);
 }
 
 void Callers::close_all() {
   std::vector<int> all(live_.begin(), live_.end());
   for (int s : all) {
     sessions_[s]->turn_back_held();
-    let_go(s);
+    let_go(s, CloseReason::stopping);
   }
 }
 
--- a/src/callers/callers.h
+++ b/src/callers/callers.h
@@ -12,6 +12,7 @@
 #include "net/link.h"
 #include "net/stream.h"
 #include "resp/resp.h"
+#include "rules/permits.h"
 #include "rules/rules.h"
 #include "rules/slab.h"
 
@@ -36,9 +37,14 @@
   virtual void parting(const Caller& caller) = 0;
 };
 
+using permits::CloseReason;
+
 struct Counts {
-  std::uint64_t unread = 0, silent = 0, evicted = 0, turned_back = 0, stalled = 0, thrown = 0, parted = 0,
-                lingered = 0;
+  std::uint64_t unread = 0, turned_back = 0, parted = 0, lingered = 0;
+  std::array<std::uint64_t, permits::kCloseReasons.size()> closed = {};  // by CloseReason
+  // Against the rules, and never to be seen: connections closed with a request unanswered whose client was
+  // still there, and answers for a request that has one.
+  std::uint64_t closed_unanswered = 0, answered_again = 0;
 };
 
 class Callers {
@@ -50,6 +56,10 @@
 
   std::uint16_t port() const { return listener_.port(); }
   void answer(const Caller& caller, std::string_view bytes);
+  // Whether the client has closed, or ended its sending, by what its socket says now.
+  bool hung_up(const Caller& caller) const;
+  // The last moment at which every event that there was had been handled: what is read late came after it.
+  void caught_up(Micros at) { caught_up_ = at; }
   void error(const Caller& caller, std::string_view why);  // one error line; the connection stays
 
   void deliver();  // commands and connections that had to wait for room, clients that part
@@ -65,10 +75,11 @@
  private:
   class Session;
   void taken(asio::ip::tcp::socket socket);
-  void admit(asio::ip::tcp::socket socket);
+  void admit(asio::ip::tcp::socket socket, Micros waiting_since);
+  Micros arrival() const;
   bool make_room();
-  void let_go(int session);
-  Session* find(const Caller& caller);
+  void let_go(int session, CloseReason reason);
+  Session* find(const Caller& caller) const;
 
   asio::io_context& io_;
   const std::size_t most_, most_ahead_;
@@ -81,6 +92,7 @@
       lobby_;  // accepted, without a place so far, until when
   std::size_t ahead_ = 0;
   std::uint64_t last_token_ = 0;
+  Micros caught_up_ = 0;
   Counts counts_;
   net::Listener listener_;
 };
--- a/src/head/daemon.cpp
+++ b/src/head/daemon.cpp
@@ -228,13 +228,13 @@
   carrier_.submit(node, s, w.data, monotonic_now(), try_for);
 }
 
-void Daemon::shed(std::uint64_t id, Micros come_back_after) {
+void Daemon::shed(std::uint64_t id, Micros come_back_after, GiveUp) {
   const int at = work_index_.find(id);
   ++counts_.shed;
   conclude(at, Final::shed, {}, come_back_after);
 }
 
-void Daemon::fail(std::uint64_t id) {
+void Daemon::fail(std::uint64_t id, GiveUp) {
   const int at = work_index_.find(id);
   ++counts_.failed;
   conclude(at, Final::failed, {});
--- a/src/head/daemon.h
+++ b/src/head/daemon.h
@@ -121,8 +121,8 @@
   bool may_reuse(int node) override;
   // Surroundings
   void submit(std::uint64_t id, int node, Micros try_for) override;
-  void shed(std::uint64_t id, Micros come_back_after) override;
-  void fail(std::uint64_t id) override;
+  void shed(std::uint64_t id, Micros come_back_after, GiveUp) override;
+  void fail(std::uint64_t id, GiveUp) override;
   void cancel(std::uint64_t id, int submit) override { carrier_.cancel(id, submit); }
   void wake(std::uint64_t token, Micros from_now) override;
   void fetch_list() override { list_.fetch(); }
--- a/src/nodes/nodes.cpp
+++ b/src/nodes/nodes.cpp
@@ -30,7 +30,9 @@
   std::span<char> room() override { return net::shared_room(); }
   void came(std::size_t bytes) override { owner_.came(line_, {net::shared_room().data(), bytes}); }
   void moved() override { owner_.write(line_); }
-  void lost(const std::error_code& why) override { owner_.gone(line_, why.message().c_str()); }
+  void lost(const std::error_code& why) override {
+    owner_.gone(line_, Closed::broken, why.message().c_str());
+  }
   Nodes& owner_;
   const int line_;
 };
@@ -53,9 +55,9 @@
   // What is out at a former start ends as lost; what is out at a former address may still be answered there.
   for (const int l : std::vector<int>(peer.lines)) {
     if (restarted && lines_[l].wire)
-      gone(l, "the node has restarted");
+      gone(l, Closed::retired, "the node has restarted");
     else if (lines_[l].out.empty())
-      drop(l);
+      drop(l, Closed::retired);
     else
       lines_[l].retired = true;
   }
@@ -69,7 +71,7 @@
 
 void Nodes::forget(int node) {
   if (node >= static_cast<int>(peers_.size())) return;
-  for (const int l : std::vector<int>(peers_[node].lines)) drop(l);
+  for (const int l : std::vector<int>(peers_[node].lines)) drop(l, Closed::retired);
   peers_[node] = Peer{};
 }
 
@@ -87,8 +89,7 @@
     if (best < 0) break;
     const bool old = !reuse_.worth(now - lines_[best].answered, now);
     if (!old && !lines_[best].wire->unread()) return best;
-    counts_.too_old += old;
-    drop(best);  // old, or it brings what nobody asked for, or has ended
+    drop(best, old ? Closed::too_old : Closed::unread);
   }
   if (live_lines_.size() >= given_.connections && !make_room()) {
     for (int l : peer.lines) {
@@ -117,7 +118,7 @@
     if (oldest < 0 || line.answered < lines_[oldest].answered) oldest = l;
   }
   if (oldest < 0) return false;
-  drop(oldest);
+  drop(oldest, Closed::room);
   return true;
 }
 
@@ -128,7 +129,7 @@
   socket->async_connect(peers_[lines_[at].node].at,
                         [this, at, socket, alive = alive_](std::error_code error) {
                           if (!*alive || lines_[at].socket != socket) return;
-                          if (error) return gone(at, error.message().c_str());
+                          if (error) return gone(at, Closed::not_up, error.message().c_str());
                           Line& line = lines_[at];
                           line.socket.reset();
                           line.wire = std::make_shared<Wire>(std::move(*socket), *this, at);
@@ -148,6 +149,10 @@
     const auto next = std::find_if(on.begin(), on.end(), [&](int o) { return o >= 0 && outs_[o].end == 0; });
     if (next == on.end()) return;
     Out& out = outs_[*next];
+    if (const Denial denial = told_.may_begin(out.id, out.no); denial != Denial::none) {
+      withhold(*next, denial);
+      continue;
+    }
     const Micros left = std::max<Micros>(1, (out.until - monotonic_now()) / 1000);
     out.begin = wire->appended();
     fields_ = out.command.fields;
@@ -162,6 +167,21 @@
   }
 }
 
+// Decided in time, but its moment has passed before its first byte could leave.
+void Nodes::withhold(int at, Denial denial) {
+  const Out& out = outs_[at];
+  ++counts_.denied[static_cast<std::size_t>(denial)];
+  if (logs::debugging())
+    logs::debug("withheld", {{"id", out.id},
+                             {"no", out.no},
+                             {"node", peers_[out.node].name},
+                             {"why", kDenials[static_cast<std::size_t>(denial)]}});
+  const int line = out.line;
+  std::erase(lines_[line].out, at);
+  off(at, Result::not_sent);
+  if (lines_[line].retired && lines_[line].out.empty()) drop(line, Closed::retired);
+}
+
 void Nodes::submit(std::uint64_t id, int no, int node, const Command& command, Micros now, Micros try_for) {
   const bool known = node >= 0 && node < static_cast<int>(peers_.size()) && peers_[node].known;
   const int line = known ? line_for(node, now) : -1;
@@ -274,7 +294,7 @@
   while (!all.empty()) {
     if (lines_[at].out.empty()) {
       ++counts_.strays;
-      return drop(at);
+      return drop(at, Closed::stray);
     }
     resp::Reply reply;
     const resp::Cut cut = resp::cut(all, reply, given_.most_value);
@@ -296,7 +316,7 @@
     held = all;
   }
   if (held.empty()) {
-    if (line.out.empty() && line.retired) drop(at);
+    if (line.out.empty() && line.retired) drop(at, Closed::retired);
     return;
   }
   line.begun = monotonic_now();
@@ -331,29 +351,32 @@
     line.out.erase(line.out.begin());
     off(out, Result::error);
   }
-  gone(at, why);
+  gone(at, Closed::spoilt, why);
+}
+
+bool Nodes::left_whole(const Line& line, const Out& out) const {
+  return line.wire && out.end > 0 && out.end <= line.wire->handed();
 }
 
-void Nodes::gone(int at, const char* why) {
+void Nodes::gone(int at, Closed reason, const char* why) {
   Line& line = lines_[at];
   if (!line.out.empty()) {
     ++counts_.connections_lost;
     logs::debug("connection gone",
                 {{"node", peers_[line.node].name}, {"why", why}, {"out", line.out.size()}});
   }
-  const std::uint64_t handed = line.wire ? line.wire->handed() : 0;
-  for (int o : line.out) {
-    if (o < 0) continue;
-    const Out& out = outs_[o];
-    // What the socket never took whole can't have been read whole: it surely has not run.
-    const bool left = line.wire && out.end > 0 && out.end <= handed;
-    off(o, left ? Result::lost : Result::no_connection);
-  }
-  drop(at);
+  // What the socket never took whole can't have been read whole: it surely has not run.
+  for (int o : line.out)
+    if (o >= 0) off(o, left_whole(line, outs_[o]) ? Result::lost : Result::no_connection);
+  drop(at, reason);
 }
 
-void Nodes::drop(int at) {
+void Nodes::drop(int at, Closed reason) {
   Line& line = lines_[at];
+  ++counts_.closed[static_cast<std::size_t>(reason)];
+  if (logs::debugging())
+    logs::debug("node connection closed",
+                {{"node", peers_[line.node].name}, {"why", kClosed[static_cast<std::size_t>(reason)]}});
   if (line.wire) {
     held_ -= line.wire->held.size();
     line.wire->close();
@@ -373,7 +396,7 @@
 // slow.
 void Nodes::drop_idle(int node, Micros quiet_since) {
   for (const int l : std::vector<int>(peers_[node].lines))
-    if (lines_[l].out.empty() && lines_[l].answered < quiet_since) drop(l);
+    if (lines_[l].out.empty() && lines_[l].answered < quiet_since) drop(l, Closed::quiet_neighbour);
 }
 
 // Off its connection, where none of it has left yet. Nothing is appended behind what the socket has not
@@ -398,7 +421,8 @@
     } else {
       Line& line = lines_[l];
       std::replace(line.out.begin(), line.out.end(), at, -1);
-      if (std::all_of(line.out.begin(), line.out.end(), [](int o) { return o < 0; })) drop(l);
+      if (std::all_of(line.out.begin(), line.out.end(), [](int o) { return o < 0; }))
+        drop(l, Closed::given_up);
       if (result == Result::no_answer) drop_idle(node, out.at);
     }
   }
@@ -414,7 +438,7 @@
     if (take_back(o)) off(o, Result::not_sent);
   for (const int l : std::vector<int>(peers_[node].lines)) {
     lines_[l].retired = true;
-    if (lines_[l].out.empty()) drop(l);
+    if (lines_[l].out.empty()) drop(l, Closed::retired);
   }
 }
 
@@ -443,11 +467,11 @@
     if (line.node < 0) continue;
     const bool quiet = line.out.empty();
     if (!line.wire && now - line.since > given_.connect_within)
-      gone(l, "no connection in time");
+      gone(l, Closed::not_up, "no connection in time");
     else if (line.begun > 0 && now - line.begun > given_.connect_within)
       spoilt(l, "an answer that doesn't go on");
     else if (line.wire && quiet && now - line.answered > static_cast<Micros>(kIdlePart * given_.idle))
-      drop(l);
+      drop(l, Closed::idle);
   }
   due.swap(work_);
 }
--- a/src/nodes/nodes.h
+++ b/src/nodes/nodes.h
@@ -6,6 +6,7 @@
 // wait for it, and giving one up closes the connection under the others. Only where the descriptors are used
 // up does a submit go behind another.
 #pragma once
+#include <array>
 #include <asio.hpp>
 #include <memory>
 #include <string>
@@ -47,12 +48,33 @@
 class Told {
  public:
   virtual ~Told() = default;
+  // Asked right before the first byte of a submit leaves; a denied one ends as not sent.
+  virtual Denial may_begin(std::uint64_t id, int no) = 0;
   virtual void submit_ended(const Ended& ended) = 0;
 };
 
+// Why a connection to a node is closed.
+enum class Closed : std::uint8_t {
+  idle,             // unused for most of the time after which the node closes it
+  too_old,          // kept ones of its age have been reset
+  unread,           // it brings what nobody asked for, or has ended
+  stray,            // bytes that belong to no command
+  spoilt,           // an answer that can't be read
+  broken,           // reset, or ended by the node
+  not_up,           // refused, or not up in time
+  given_up,         // all that was out on it was given up
+  quiet_neighbour,  // another one to the node went silent
+  retired,          // its node drains, is gone, has moved or restarted
+  room              // its descriptor is needed
+};
+inline constexpr std::array<std::string_view, 11> kClosed = {
+    "idle",   "too_old",  "unread",          "stray",   "spoilt", "broken",
+    "not_up", "given_up", "quiet_neighbour", "retired", "room"};
+
 struct Counts {
-  std::uint64_t opened = 0, connections_lost = 0, spoilt = 0, strays = 0, doubled_up = 0, no_room = 0,
-                too_old = 0;
+  std::uint64_t opened = 0, connections_lost = 0, spoilt = 0, strays = 0, doubled_up = 0, no_room = 0;
+  std::array<std::uint64_t, kClosed.size()> closed = {};   // by Closed
+  std::array<std::uint64_t, kDenials.size()> denied = {};  // by Denial
 };
 
 class Nodes {
@@ -118,8 +140,10 @@
   void came(int line, std::string_view bytes);
   void answer(int line, const resp::Reply& reply);
   void spoilt(int line, const char* why);
-  void gone(int line, const char* why);
-  void drop(int line);
+  bool left_whole(const Line& line, const Out& out) const;
+  void gone(int line, Closed reason, const char* why);
+  void drop(int line, Closed reason);
+  void withhold(int out, Denial denial);
   void drop_idle(int node, Micros quiet_since);
   void end(int out, Result result, Micros now, const resp::Reply* reply = nullptr);
   void give_up(int out, Result result, Micros now);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -31,6 +31,24 @@
 constexpr std::size_t kAheadPart = 12;                 // and for commands that wait behind others
 constexpr double kBeyond = 1e9;                        // of descriptors or megabytes
 constexpr std::size_t kHexDigits = 16;
+// A client that closed longer ago than this must not have an attempt begin for it; the operators allow 0.1 s.
+constexpr Micros kGoneWithin = 50'000;
+constexpr Micros kAnswerSlack = 50'000;  // of the protocol, on every time limit
+
+template <std::size_t N>
+nlohmann::ordered_json by_name(const std::array<std::string_view, N>& names,
+                               const std::array<std::uint64_t, N>& counts) {
+  nlohmann::ordered_json all = nlohmann::ordered_json::object();
+  for (std::size_t i = 0; i < N; ++i)
+    if (counts[i] > 0) all[std::string(names[i])] = counts[i];
+  return all;
+}
+
+std::string hex_text(std::uint64_t value) {
+  char text[kHexDigits + 1];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(value));
+  return text;
+}
 
 bool hex(std::string_view text, std::uint64_t& value) {
   if (text.size() != kHexDigits) return false;
@@ -113,8 +131,9 @@
 
 void Relay::run() {
   while (true) {
-    turns::gather(io_, wakes_.next(monotonic_now() + kStoodStill));
+    const bool caught_up = turns::gather(io_, wakes_.next(monotonic_now() + kStoodStill));
     const Micros began = monotonic_now();
+    if (caught_up) callers_.caught_up(began);
     turn();
     counts_.longest_turn = std::max(counts_.longest_turn, monotonic_now() - began);
     if (gone_at_ == 0 || now_ < gone_at_ - kClosing) continue;
@@ -178,11 +197,7 @@
           {"calm", f.calm},
           {"clients", callers_.clients()},
           {"unread", c.unread},
-          {"silent", c.silent},
-          {"evicted", c.evicted},
           {"turned_back", c.turned_back},
-          {"stalled", c.stalled},
-          {"thrown", c.thrown},
           {"parted", c.parted},
           {"lingered", c.lingered},
           {"connections", nodes_.connections()},
@@ -192,7 +207,16 @@
           {"strays", n.strays},
           {"doubled_up", n.doubled_up},
           {"no_room", n.no_room},
-          {"too_old", n.too_old},
+          {"outcomes", by_name(kResults, counts_.outcomes)},
+          {"given_up", by_name(kGiveUps, counts_.given_up)},
+          {"denied", by_name(kDenials, n.denied)},
+          {"clients_closed", by_name(permits::kCloseReasons, c.closed)},
+          {"nodes_closed", by_name(nodes::kClosed, n.closed)},
+          {"violations",
+           {{"late_answers", counts_.violations.late_answers},
+            {"unasked_values", counts_.violations.unasked_values},
+            {"closed_unanswered", c.closed_unanswered},
+            {"answered_again", c.answered_again}}},
           {"list", members_.version()},
           {"nodes", members_.kept()},
           {"volumes", volumes_.size()},
@@ -306,6 +330,7 @@
   Work& work = works_[at];
   work.submits = work.out = 0;
   work.may_have_run = work.parting = false;
+  work.last = Result::not_sent;
   const char* why = read(command, bio, work, came);
   if (!why && by_name_.find(work.name) >= 0) why = "a block I/O of this id is in hand";
   if (why) {
@@ -326,6 +351,12 @@
   in_hand_.add(at);
   by_id_.add(bio.id, at);
   by_name_.add(work.name, at);
+  if (trace_)
+    logs::debug("taken", {{"id", work.id},
+                          {"request", hex_text(work.name)},
+                          {"connection", caller.token},
+                          {"waited", now_ - came},
+                          {"left", work.give_up_at - now_}});
   rules_->take(bio);
 }
 
@@ -340,7 +371,7 @@
   if (at < 0) return;
   ++counts_.left;
   now();
-  if (trace_) say_final(at, "left");
+  say_final(at, "left", "client gone");
   const std::uint64_t id = works_[at].id;
   let_go(at);
   rules_->client_left(id);
@@ -364,7 +395,7 @@
   work.out -= nodes_.retract(id);
   const bool run = work.may_have_run || work.out > 0;
   ++(work.parting ? counts_.left : run ? counts_.failed : counts_.shed);
-  if (trace_) say_final(at, work.parting ? "left" : run ? "failed" : "shed");
+  say_final(at, work.parting ? "left" : run ? "failed" : "shed", work.parting ? "client ended" : "stopping");
   callers_.answer(work.caller, run ? "-ERR failed\r\n" : "-BUSY\r\n");
   let_go(at);
   rules_->client_left(id);
@@ -381,23 +412,25 @@
     work.command.behind = {};  // a body's memory is not kept
 }
 
-void Relay::shed(std::uint64_t id, Micros come_back_after) {
+void Relay::shed(std::uint64_t id, Micros come_back_after, GiveUp why) {
   const int at = by_id_.find(id);
   if (at < 0) return;
   ++counts_.shed;
+  ++counts_.given_up[static_cast<std::size_t>(why)];
   text_ = "-BUSY";
   if (come_back_after > 0) text_ += " " + std::to_string((come_back_after + 999) / 1000);
   text_ += "\r\n";
-  if (trace_) say_final(at, "shed");
+  say_final(at, "shed", kGiveUps[static_cast<std::size_t>(why)]);
   callers_.answer(works_[at].caller, text_);
   let_go(at);
 }
 
-void Relay::fail(std::uint64_t id) {
+void Relay::fail(std::uint64_t id, GiveUp why) {
   const int at = by_id_.find(id);
   if (at < 0) return;
   ++counts_.failed;
-  if (trace_) say_final(at, "failed");
+  ++counts_.given_up[static_cast<std::size_t>(why)];
+  say_final(at, "failed", kGiveUps[static_cast<std::size_t>(why)]);
   callers_.error(works_[at].caller, "failed");
   let_go(at);
 }
@@ -411,12 +444,25 @@
   ++counts_.submits;
   if (work.submits > 0) ++counts_.further;
   if (trace_)
-    logs::debug("submit",
-                {{"id", id}, {"no", work.submits}, {"node", members_.node(node).name}, {"left", try_for}});
+    logs::debug("submit", {{"id", id},
+                           {"no", work.submits},
+                           {"after", work.submits > 0 ? kResults[static_cast<std::size_t>(work.last)] : ""},
+                           {"node", members_.node(node).name},
+                           {"left", try_for}});
   ++work.out;
   nodes_.submit(id, work.submits++, node, work.command, now_, try_for);
 }
 
+// The module's rules, and what only the socket tells: a client that has just closed.
+Denial Relay::may_begin(std::uint64_t id, int no) {
+  now();
+  const int at = by_id_.find(id);
+  if (at < 0 || works_[at].parting) return Denial::request_over;
+  const Work& work = works_[at];
+  if (now_ - work.taken >= kGoneWithin && callers_.hung_up(work.caller)) return Denial::request_over;
+  return rules_->may_begin(id, no);
+}
+
 void Relay::submit_ended(const nodes::Ended& given) {
   nodes::Ended ended = given;
 #ifdef YEWMOUNT_PLANTED_FAULT
@@ -430,7 +476,7 @@
     logs::debug("ended", {{"id", ended.id},
                           {"no", ended.no},
                           {"node", members_.node(ended.node).name},
-                          {"result", static_cast<int>(ended.result)},
+                          {"result", kResults[static_cast<std::size_t>(ended.result)]},
                           {"lag", ended.lag},
                           {"use", ended.volume_use},
                           {"others", ended.from_others},
@@ -438,8 +484,14 @@
                           {"recent", ended.report.recent},
                           {"value", ended.value.size()},
                           {"late", at < 0}});
+  ++counts_.outcomes[static_cast<std::size_t>(ended.result)];
   const bool parting = at >= 0 && works_[at].parting;
   if (at >= 0) {
+    if (works_[at].out <= 0) {
+      ++counts_.violations.unasked_values;
+      logs::error("violation: an outcome of nothing that is out", {{"id", ended.id}, {"no", ended.no}});
+    }
+    works_[at].last = ended.result;
     --works_[at].out;
     works_[at].may_have_run |= ended.result != Result::turned_away && ended.result != Result::no_connection &&
                                ended.result != Result::not_sent;
@@ -453,19 +505,28 @@
     return;
   }
   ++counts_.ended;
-  if (trace_) say_final(at, "ended");
+  say_final(at, "ended", "");
   text_.clear();
   resp::put_bulk(text_, ended.value);
   callers_.answer(works_[at].caller, text_);
   let_go(at);
 }
 
-void Relay::say_final(int at, const char* how) {
-  logs::debug("final", {{"id", works_[at].id},
+void Relay::say_final(int at, const char* how, std::string_view why) {
+  const Work& work = works_[at];
+  const Micros over = now_ - work.give_up_at;
+  if (over > kAnswerSlack + given_.platform.head.answer_slack && !work.parting) {
+    ++counts_.violations.late_answers;
+    logs::error("violation: late", {{"request", hex_text(work.name)}, {"how", how}, {"over", over}});
+  }
+  if (!trace_) return;
+  logs::debug("final", {{"id", work.id},
+                        {"request", hex_text(work.name)},
                         {"how", how},
-                        {"submits", works_[at].submits},
-                        {"took", now_ - works_[at].taken},
-                        {"left", works_[at].give_up_at - now_}});
+                        {"why", why},
+                        {"submits", work.submits},
+                        {"took", now_ - work.taken},
+                        {"left", -over}});
 }
 
 void Relay::note(std::string_view text) { logs::info("module", {{"says", text}}); }
@@ -476,6 +537,11 @@
   now();
   for (const NodeEntry& e : entries) {
     const members::Known& n = members_.node(e.node);
+    if (trace_)
+      logs::debug("node", {{"node", n.name},
+                           {"state", kNodeStates[static_cast<std::size_t>(e.state)]},
+                           {"up_since", e.up_since},
+                           {"version", members_.version()}});
     if (e.state != NodeState::gone) nodes_.node_at(e.node, n.name, n.at, n.started);
     if (e.state != NodeState::ready) nodes_.recall(e.node);
   }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -2,6 +2,7 @@
 // its wishes become commands to nodes and answers to clients. It decides nothing of its own. No door, no
 // catalogue, no scrubber, no file: the platform's limits and rules leave no room for them.
 #pragma once
+#include <array>
 #include <asio.hpp>
 #include <cstdint>
 #include <memory>
@@ -31,11 +32,20 @@
 // Throws provision::BadInput or std::runtime_error with one line: the place and the reason.
 Deployment load(const std::string& file);
 
+// What must never happen; each is counted, and logged as an error.
+struct Violations {
+  std::uint64_t late_answers = 0;    // later than the client's time and the slack on it
+  std::uint64_t unasked_values = 0;  // a value for a submit that was not out
+};
+
 struct Counts {
   std::uint64_t taken = 0, ended = 0, shed = 0, failed = 0, left = 0, bad = 0, full = 0, submits = 0,
                 further = 0;
   std::uint64_t stood_still = 0;
   Micros longest_turn = 0;
+  std::array<std::uint64_t, kGiveUps.size()> given_up = {};  // shed or failed by the module, by GiveUp
+  std::array<std::uint64_t, kResults.size()> outcomes = {};  // of submits, by Result
+  Violations violations;
 };
 
 class Relay : public Surroundings, public callers::Service, public nodes::Told, public members::Told {
@@ -59,6 +69,7 @@
     Micros taken = 0, give_up_at = 0;
     int submits = 0, out = 0;                    // all there were; those without an outcome
     bool may_have_run = false, parting = false;  // parting: its client sends no more
+    Result last = Result::not_sent;              // of its last submit that has an outcome
     nodes::Command command;                      // as it goes to nodes
   };
 
@@ -67,14 +78,15 @@
   void left(const callers::Caller& caller) override;
   void parting(const callers::Caller& caller) override;
   // nodes::Told
+  Denial may_begin(std::uint64_t id, int no) override;
   void submit_ended(const nodes::Ended& ended) override;
   // members::Told
   void listed(ListKind kind, std::span<const NodeEntry> entries) override;
   bool may_reuse(int node) override;
   // Surroundings
   void submit(std::uint64_t id, int node, Micros try_for) override;
-  void shed(std::uint64_t id, Micros come_back_after) override;
-  void fail(std::uint64_t id) override;
+  void shed(std::uint64_t id, Micros come_back_after, GiveUp) override;
+  void fail(std::uint64_t id, GiveUp) override;
   void cancel(std::uint64_t id, int submit) override { nodes_.cancel(id, submit); }
   void wake(std::uint64_t token, Micros from_now) override { wakes_.add(now_ + from_now, token); }
   void fetch_list() override {}  // the list is followed all the time
@@ -88,7 +100,7 @@
   void turn();
   void once_a_second(Micros now);
   void let_go(int work);
-  void say_final(int work, const char* how);
+  void say_final(int work, const char* how, std::string_view why);
   Micros now();
 
   asio::io_context& io_;
--- a/src/rules/rules.cpp
+++ b/src/rules/rules.cpp
@@ -17,6 +17,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "permits.h"
 #include "slab.h"
 
 namespace yewmount {
@@ -417,36 +418,55 @@
     b.of_reserve = b.of_share = 0;
   }
 
+  // The first `count` submits, as the permits see them.
+  struct Earlier {
+    std::array<permits::Attempt, kPlaces> all;
+    int count;
+    operator std::span<const permits::Attempt>() const {
+      return {all.data(), static_cast<std::size_t>(count)};
+    }
+  };
+
+  Earlier earlier(const Bio& b, int count) const {
+    Earlier e{{}, count};
+    for (int i = 0; i < count; ++i) {
+      const Submit& s = b.submit[i];
+      e.all[i] = {s.sent, nodes_[s.node].zone, nodes_[s.node].shard, s.out, s.may_have_run};
+    }
+    return e;
+  }
+
+  permits::Target target(int node) const {
+    return {nodes_[node].state, nodes_[node].zone, nodes_[node].shard};
+  }
+
   bool untouched(const Bio& b) const {
-    if (b.outs > 0) return false;
     for (int i = 0; i < b.submits; ++i)
-      if (b.submit[i].may_have_run) return false;
+      if (b.submit[i].out || b.submit[i].may_have_run) return false;
     return true;
   }
 
   bool may_shed(const Bio& b) const {
-    const Group& g = groups_[b.io.group];
-    return g.repeat == Repeat::idempotent || untouched(b) ||
-           (g.repeat == Repeat::fingerprinted && g.scope == Scope::all);
+    return permits::may_refuse(groups_[b.io.group], earlier(b, b.submits));
   }
 
-  // Whether a submit to this node would break the promise of no second effect. A new object goes elsewhere
-  // once a node turned it away, even if that node still ranks well.
+  // Whether a submit to this node is out of the question. A new object goes elsewhere once a node turned it
+  // away, even if that node still ranks well.
   bool barred(const Bio& b, int node) const {
-    const Group& g = groups_[b.io.group];
     if (b.submits >= most_submits_ || b.outs > 0) return true;
+    if (b.submits == 0) return false;
     for (int i = 0; i < b.submits; ++i)
       if (b.io.shard < 0 && b.submit[i].node == node) return true;
-    if (g.repeat == Repeat::idempotent || untouched(b)) return false;
-    if (g.repeat == Repeat::side_effecting) return true;
-    for (int i = 0; i < b.submits; ++i) {
-      const Submit& s = b.submit[i];
-      if (!s.out && !s.may_have_run) continue;
-      if (now_ >= s.sent + g.memory_span) return true;
-      if (g.scope == Scope::zone && nodes_[s.node].zone != nodes_[node].zone) return true;
-      if (g.scope == Scope::cell && nodes_[s.node].shard != nodes_[node].shard) return true;
-    }
-    return false;
+    const Group& g = groups_[b.io.group];
+    return permits::may_repeat(g, earlier(b, b.submits), target(node), now_) != Denial::none;
+  }
+
+  Denial may_begin(std::uint64_t id, int submit) const {
+    const int at = index_.find(id);
+    if (at < 0 || bios_[at].over || submit >= bios_[at].submits) return Denial::request_over;
+    const Bio& b = bios_[at];
+    return permits::may_begin(groups_[b.io.group], earlier(b, submit), target(b.submit[submit].node), now_,
+                              b.io.give_up_at);
   }
 
   bool further_allowed() {
@@ -506,7 +526,7 @@
       b.not_before = b.io.shard < 0 ? now_ : now_ + tightest_goal_ / 8;
       return hold(static_cast<int>(&b - &bios_[0]));
     }
-    give_up(b);
+    give_up(b, GiveUp::no_further);
   }
 
   void after_over(Bio&, const Answer&) {}
@@ -519,11 +539,12 @@
     done_.push_back(static_cast<int>(&b - &bios_[0]));
   }
 
-  void give_up(Bio& b) {
+  void give_up(Bio& b, GiveUp why) {
+    const Micros advice = given_.takes_advice ? std::min<Micros>(given_.longest_advice, tightest_goal_) : 0;
     if (may_shed(b))
-      out_.shed(b.io.id, given_.takes_advice ? std::min<Micros>(given_.longest_advice, tightest_goal_) : 0);
+      out_.shed(b.io.id, advice, why);
     else
-      out_.fail(b.io.id);
+      out_.fail(b.io.id, why);
     finish(b, false);
   }
 
@@ -754,7 +775,7 @@
     if (node >= 0) nodes_[node].wanted_at = now_;
     const bool dear = node >= 0 && priced_out(b, nodes_[node]);
     if (now_ >= b.goal_at || (b.submits == 0 && dear)) {
-      give_up(b);
+      give_up(b, now_ >= b.goal_at ? GiveUp::goal_passed : GiveUp::priced_out);
       continue;
     }
     const bool ready =
@@ -791,7 +812,7 @@
     const Bio& shed = bios_[least];
     if (!within(shed, n, n.ahead + shed.io.units, static_cast<double>(groups_[shed.io.group].latency_goal)))
       n.price = std::max(n.price, shed.gain);
-    give_up(bios_[least]);
+    give_up(bios_[least], GiveUp::crowded_out);
   }
   held_.keep([&](int at) { return bios_[at].held; });
   for (int at : done_) let_go(at);
@@ -862,7 +883,7 @@
       s.written_off = true;
       log_drop(n, b.io.units);
     }
-    if (!b.over && !b.streaming && now_ >= b.io.give_up_at) give_up(b);
+    if (!b.over && !b.streaming && now_ >= b.io.give_up_at) give_up(b, GiveUp::time_over);
   }
   // Guards against nodes that take work and answer none, whether hung, vanished or cut off.
   for (Node& n : nodes_) {
@@ -900,6 +921,8 @@
           d.lines_.size(), marks,          d.calm_};
 }
 
+Denial Head::may_begin(std::uint64_t id, int submit) const { return desk_->may_begin(id, submit); }
+
 void Head::stream_started(std::uint64_t id, int) {
   if (const int at = desk_->index_.find(id); at >= 0) desk_->bios_[at].streaming = true;
 }
--- a/src/rules/rules.h
+++ b/src/rules/rules.h
@@ -1,5 +1,6 @@
 // The interface of the decision module (rules.cpp): no wire, no decision, no figure of its own.
 #pragma once
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <span>
@@ -25,6 +26,34 @@
   not_sent
 };
 
+// Why an attempt may not begin now.
+enum class Denial : std::uint8_t {
+  none,
+  request_over,     // answered already, or its client has gone
+  node_not_ready,   // it drains or is gone
+  time_over,        // the client has no time left
+  effect_possible,  // an earlier attempt may have run, and the class may not be repeated
+  memory_over,      // the nodes may have forgotten the earlier attempt
+  outside_scope     // this node would not recognise the repeat
+};
+inline constexpr std::array<std::string_view, 7> kDenials = {
+    "none", "request_over", "node_not_ready", "time_over", "effect_possible", "memory_over", "outside_scope"};
+
+// Why a block I/O is shed or failed.
+enum class GiveUp : std::uint8_t {
+  goal_passed,  // no submit could be in time any more
+  priced_out,   // it earns less than its node's price
+  crowded_out,  // of those that wait at its node it earns least
+  time_over,    // its client's time is up
+  no_further    // its submits failed and none may follow
+};
+inline constexpr std::array<std::string_view, 5> kGiveUps = {"goal_passed", "priced_out", "crowded_out",
+                                                             "time_over", "no_further"};
+
+inline constexpr std::array<std::string_view, 3> kNodeStates = {"gone", "ready", "draining"};
+inline constexpr std::array<std::string_view, 8> kResults = {
+    "ended", "error", "turned_away", "no_answer", "no_connection", "lost", "called_off", "not_sent"};
+
 struct IoGroup {
   Micros latency_goal, hard_limit, memory_span;
   double goal_stretch, gain, late_part;
@@ -94,8 +123,8 @@
  public:
   virtual ~Surroundings() = default;
   virtual void submit(std::uint64_t id, int node, Micros try_for) = 0;
-  virtual void shed(std::uint64_t id, Micros come_back_after) = 0;
-  virtual void fail(std::uint64_t id) = 0;
+  virtual void shed(std::uint64_t id, Micros come_back_after, GiveUp why) = 0;
+  virtual void fail(std::uint64_t id, GiveUp why) = 0;
   virtual void cancel(std::uint64_t id, int submit) = 0;
   virtual void wake(std::uint64_t token, Micros from_now) = 0;
   virtual void fetch_list() = 0;
@@ -113,6 +142,9 @@
   // Other plans while it serves. A plan's index keeps its meaning; there are never fewer of them.
   void planned(std::span<const Plan> plans);
   void take(const BlockIo& bio);
+  // Asked again as the first byte of a submit is about to leave: what held when it was decided may not hold
+  // any more. A denied submit ends as Result::not_sent.
+  Denial may_begin(std::uint64_t id, int submit) const;
   void stream_started(std::uint64_t id, int submit);
   void answered(const Answer& answer);
   void probed(int node, Result result, Micros lag, const LoadReport& report);
--- a/src/turns/turns.h
+++ b/src/turns/turns.h
@@ -40,14 +40,15 @@
 };
 
 // Waits for handlers until `until`, then runs those that are ready: a handful a turn, so that the module's
-// ticks keep coming under any flood.
-inline void gather(asio::io_context& io, Micros until) {
-  constexpr int kHandlersATurn = 256;
+// ticks keep coming under any flood. Returns whether none is left.
+inline bool gather(asio::io_context& io, Micros until) {
+  constexpr std::size_t kHandlersATurn = 256;
   const auto wait = std::chrono::microseconds(std::max<Micros>(0, until - monotonic_now()));
-  if (io.run_one_for(wait) > 0)
-    for (int n = 1; n < kHandlersATurn && io.poll_one() > 0; ++n) {
-    }
+  // A wait that timed out, or was interrupted, says nothing of what has come meanwhile.
+  std::size_t handlers = io.run_one_for(wait);
+  while (handlers < kHandlersATurn && io.poll_one() > 0) ++handlers;
   if (io.stopped()) io.restart();
+  return handlers < kHandlersATurn;
 }
 
 // Small indices for keys that come and go; one long unused goes to the next key once its users let go.
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -167,8 +167,8 @@
   EXPECT_EQ(runs(id), 1);
 }
 
-// A fingerprinted command may be sent again only while its node still remembers the first try. The further one
-// is decided in time here, but its connection comes up after the memory has ended.
+// A fingerprinted command may be sent again only while its node still remembers the first try. The further
+// one is decided in time here, but its connection comes up after the memory has ended.
 TEST_F(Serving, AFurtherSubmitWhoseConnectionComesUpAfterTheWindowIsNotSent) {
   auto& group = p.config["settings"]["classes"][1];
   group["idempotency"] = "idempotency_key";
@@ -331,8 +331,8 @@
 
 // Closed and half-closed look the same to the head: what has begun is answered for one that still reads, what
 // has not is turned back.
-// Reading is held back behind 32 open commands and 256 KiB that wait; what comes then stays in the socket. Its
-// time runs all the same: a node is never told more than its client has left.
+// Reading is held back behind 32 open commands and 256 KiB that wait; what comes then stays in the socket.
+// Its time runs all the same: a node is never told more than its client has left.
 TEST_F(Serving, TimeThatACommandSpentUnreadInTheSocketIsNotTheNodes) {
   for (auto& group : p.config["settings"]["classes"]) group["objective-s"] = 2.5;
   p.start();
@@ -376,6 +376,20 @@
   ASSERT_TRUE(p.until([&] { return p.answered(); }));
 }
 
+// And where the whole process stood still.
+TEST_F(Serving, TimeThatTheProcessStoodStillIsNotTheNodes) {
+  p.start();
+  auto c = p.client();
+  p.ask(*c);
+  ASSERT_TRUE(p.until([&] { return p.answered(); }));
+  kill(p.head, SIGSTOP);
+  p.idle(20);
+  p.ask(*c, false, 0, 1500);
+  p.idle(500);
+  kill(p.head, SIGCONT);
+  ASSERT_TRUE(p.until([&] { return p.answered(); }));
+}
+
 TEST_F(Serving, AClientThatEndsItsSendingStillGetsItsAnswers) {
   p.start();
   std::vector<std::pair<std::shared_ptr<Conn>, Words>> held;
--- a/tests/rules/bench_free.h
+++ b/tests/rules/bench_free.h
@@ -191,7 +191,7 @@
     t.sent.push_back({node, now});
     order.emplace_back(id, node);
   }
-  void shed(std::uint64_t id, Micros) override {
+  void shed(std::uint64_t id, Micros, GiveUp) override {
     Taken& t = taken.at(id);
     EXPECT_FALSE(t.over) << "rule 1: two final answers";
     EXPECT_LE(now, t.io.give_up_at + given.answer_slack) << "rule 1: too late";
@@ -203,7 +203,7 @@
       }
     t.over = t.shed = true;
   }
-  void fail(std::uint64_t id) override {
+  void fail(std::uint64_t id, GiveUp) override {
     EXPECT_FALSE(taken.at(id).over) << "rule 1: two final answers";
     EXPECT_LE(now, taken.at(id).io.give_up_at + given.answer_slack) << "rule 1: too late";
     taken.at(id).over = taken.at(id).failed = true;
--- a/tests/rules/fleet_test.cpp
+++ b/tests/rules/fleet_test.cpp
@@ -86,8 +86,8 @@
   double rate = 0;
   std::unique_ptr<Head> head;  // last: it asks from its start
   void submit(std::uint64_t id, int node, Micros) override { send(*this, id, node); }
-  void shed(std::uint64_t id, Micros) override { bios.erase(id); }
-  void fail(std::uint64_t id) override { bios.erase(id); }
+  void shed(std::uint64_t id, Micros, GiveUp) override { bios.erase(id); }
+  void fail(std::uint64_t id, GiveUp) override { bios.erase(id); }
   void cancel(std::uint64_t, int) override {}
   void wake(std::uint64_t, Micros) override {}
   void fetch_list() override {}
--- a/tests/rules/long_life_test.cpp
+++ b/tests/rules/long_life_test.cpp
@@ -10,8 +10,8 @@
   std::vector<std::pair<std::uint64_t, int>> sent;
   std::size_t answers = 0;
   void submit(std::uint64_t id, int node, Micros) override { sent.emplace_back(id, node); }
-  void shed(std::uint64_t, Micros) override { ++answers; }
-  void fail(std::uint64_t) override { ++answers; }
+  void shed(std::uint64_t, Micros, GiveUp) override { ++answers; }
+  void fail(std::uint64_t, GiveUp) override { ++answers; }
   void cancel(std::uint64_t, int) override {}
   void wake(std::uint64_t, Micros) override {}
   void fetch_list() override {}
