Failing test: a value for a command that has not left whole is taken as its answer

A node begins a command once its last byte has come, so what it says before is no answer to it. Nodes::answer takes it for the front submit whatever has left: the client is served what no node made for it.

--- a/tests/relay/nodes_test.cpp
+++ b/tests/relay/nodes_test.cpp
@@ -97,6 +97,20 @@
   EXPECT_FALSE(nodes.busy(0));
 }
 
+// A node begins a command once its last byte has come: what it says before that is no answer to it.
+TEST_F(Submitting, AValueForACommandThatHasNotLeftWholeIsNobodys) {
+  std::shared_ptr<Conn> unread;
+  Server quiet(io, [&](std::shared_ptr<Conn> c) { unread = c; });
+  nodes.node_at(1, "n1", quiet.acceptor.local_endpoint(), 0);
+  const nodes::Command command{"*3\r\n", "d=,x=1", std::string(32 << 20, 'b'), 2};
+  nodes.submit(1, 0, 1, command, monotonic_now(), 2'000'000);
+  ASSERT_TRUE(until([&] { return unread != nullptr; }));
+  unread->send("*3\r\n$5\r\nother\r\n$-1\r\n$-1\r\n");
+  ASSERT_TRUE(until([&] { return !ends.empty(); }));
+  EXPECT_EQ(ends[0].result, Result::no_connection);
+  EXPECT_EQ(ends[0].value, "");
+}
+
 TEST_F(Submitting, AnswersThatCanNotBeKeptAreSpoilt) {
   submit(1);
   ASSERT_TRUE(until([&] { return seen.size() == 1; }));
