An answer before its command has left whole is a stray; only a refusal counts

Nodes::answer asks whether the front submit has left whole. A refusal is still taken (a node that is full may turn a connection away at once); anything else closes the connection and the submit surely has not run.

--- a/src/nodes/nodes.cpp
+++ b/src/nodes/nodes.cpp
@@ -330,12 +330,16 @@
   const Micros now = monotonic_now();
   Line& line = lines_[at];
   const int out = line.out.front();
+  // A node begins a command once its last byte has come: only a refusal can be meant for one that has not.
+  const bool refused = !value && reply.text.starts_with("BUSY");
+  if (out >= 0 && !refused && !left_whole(line, outs_[out])) {
+    ++counts_.strays;
+    return gone(at, Closed::stray, "an answer before its command");
+  }
   line.out.erase(line.out.begin());
   line.answered = now;
   if (out < 0) return;
-  const Result result = value                            ? Result::ended
-                        : reply.text.starts_with("BUSY") ? Result::turned_away
-                                                         : Result::error;
+  const Result result = value ? Result::ended : refused ? Result::turned_away : Result::error;
   if (reply.text.starts_with("SYNTAX"))
     logs::error("a node can't read our command", {{"node", peers_[line.node].name}});
   end(out, result, now, &reply);
