Randomized fault soak: real heads, nodes, discovery, clients and a proxy under overlapping troubles

Troubles: SIGTERM, SIGKILL, SIGHUP (a broken file, then two good ones), SIGSTOP of heads, nodes and discovery, cold restarts, drains, resets in the midst of bytes, swallowed bytes, connections that don't come up, spoilt answers, clients that leave or behave badly, stepped wall clocks, and system calls that fail for a moment (tests/support/syscall_faults, preloaded). The oracle shares no code with the head: one final answer in time, values made for the request, effects once, windows of repeats, told times, clients gone, drains, cold nodes, bad clients, ends and starts of processes, and the head's own counts of violations.

On the way, faults of the harness itself, all mended before any verdict was used: a filler connection that made the proxy wait for it, refusals of nodes counted as effects, lists told to a head's former process, the wait behind an earlier answer on the same connection.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -54,3 +54,21 @@
 # The tools of this repository itself.
 add_test(NAME variant_tool COMMAND ${CMAKE_SOURCE_DIR}/tests/variant/variant_test.sh)
 add_test(NAME known_red_tool COMMAND ${CMAKE_SOURCE_DIR}/tests/known_red/known_red_test.sh)
+
+# Randomized faults over real processes. The seeds here are fixed; tools/soak plays others.
+add_library(syscall_faults SHARED tests/support/syscall_faults.cpp)
+target_link_libraries(syscall_faults PRIVATE ${CMAKE_DL_LIBS})
+add_executable(yewmount-soak tests/soak/main.cpp tests/soak/plan.cpp tests/soak/node.cpp tests/soak/discovery.cpp
+               tests/soak/clients.cpp tests/soak/proxy.cpp tests/soak/oracle.cpp)
+target_include_directories(yewmount-soak PRIVATE ${CMAKE_SOURCE_DIR})
+target_link_libraries(yewmount-soak PRIVATE nlohmann_json::nlohmann_json CLI11::CLI11 Threads::Threads)
+set_target_properties(yewmount-soak PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+foreach(seed 1 2 3)
+  add_test(NAME soak_${seed} COMMAND yewmount-soak run --seed ${seed} --program $<TARGET_FILE:yewmountd>)
+  set_tests_properties(soak_${seed} PROPERTIES PROCESSORS 4 TIMEOUT 120)
+endforeach()
+foreach(seed 6 11)
+  add_test(NAME soak_faulty_calls_${seed} COMMAND yewmount-soak run --seed ${seed} --program $<TARGET_FILE:yewmountd>
+           --faults $<TARGET_FILE:syscall_faults>)
+  set_tests_properties(soak_faulty_calls_${seed} PROPERTIES PROCESSORS 4 TIMEOUT 120)
+endforeach()
