Failing test: an aborted connection holds up newcomers, and the end of the process for good

Listener::finish is the synchronous form, in the last 0.4 s after SIGTERM.

The platform kills such a head with requests in hand.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -43,21 +43,24 @@
 yewmount_test(plans SOURCES tests/plans/plan_test.cpp tests/plans/random_test.cpp USES yewmount_planning yewmount_judge)
 add_test(NAME plan_command_line COMMAND ${CMAKE_SOURCE_DIR}/tests/plans/command_line.sh ${CMAKE_BINARY_DIR}/bin)
 
+# Preloaded into heads: system calls fail for a moment, the wall clock is stepped.
+add_library(syscall_faults SHARED tests/support/syscall_faults.cpp)
+target_link_libraries(syscall_faults PRIVATE ${CMAKE_DL_LIBS})
+
 yewmount_test(resp SOURCES tests/resp/resp_test.cpp USES yewmount_resp)
 yewmount_test(relay SOURCES tests/relay/relay_test.cpp tests/relay/nodes_test.cpp
               tests/relay/reuse_test.cpp
               USES yewmount_nodes nlohmann_json::nlohmann_json PROPERTIES PROCESSORS 2 TIMEOUT 60)
 target_compile_definitions(relay_tests PRIVATE YEWMOUNTD="$<TARGET_FILE:yewmountd>"
-                           YEWMOUNTD_PLANTED="$<TARGET_FILE:yewmountd-planted>")
-add_dependencies(relay_tests yewmountd yewmountd-planted)
+                           YEWMOUNTD_PLANTED="$<TARGET_FILE:yewmountd-planted>"
+                           SYSCALL_FAULTS="$<TARGET_FILE:syscall_faults>")
+add_dependencies(relay_tests yewmountd yewmountd-planted syscall_faults)
 
 # The tools of this repository itself.
 add_test(NAME variant_tool COMMAND ${CMAKE_SOURCE_DIR}/tests/variant/variant_test.sh)
 add_test(NAME known_red_tool COMMAND ${CMAKE_SOURCE_DIR}/tests/known_red/known_red_test.sh)
 
 # Randomized faults over real processes. The seeds here are fixed; tools/soak plays others.
-add_library(syscall_faults SHARED tests/support/syscall_faults.cpp)
-target_link_libraries(syscall_faults PRIVATE ${CMAKE_DL_LIBS})
 add_executable(yewmount-soak tests/soak/main.cpp tests/soak/plan.cpp tests/soak/node.cpp tests/soak/discovery.cpp
                tests/soak/clients.cpp tests/soak/proxy.cpp tests/soak/oracle.cpp)
 target_include_directories(yewmount-soak PRIVATE ${CMAKE_SOURCE_DIR})
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -496,6 +496,21 @@
   EXPECT_EQ(p.answer(read), "-BUSY");
 }
 
+// A connection that its client has aborted before it was accepted is an error of accept, and no more than that.
+TEST_F(Serving, AbortedConnectionsHoldUpNeitherNewcomersNorTheEnd) {
+  p.variables = {"LD_PRELOAD=" SYSCALL_FAULTS, "YEWMOUNT_FAULTS=seed=1,accept=0.3,errno=103"};
+  p.start();
+  int waited = 0;
+  for (int i = 0; i < 30; ++i) {
+    auto c = p.connect();
+    c->send(array_of({"PING"}));
+    waited += !p.until([&] { return c->in == "+PONG\r\n"; }, 200);
+  }
+  EXPECT_EQ(waited, 0) << "of 30 newcomers";
+  kill(p.head, SIGTERM);
+  EXPECT_EQ(p.ended(5000), 0);
+}
+
 TEST_F(Serving, ANodeThatDrainsOrGoesGetsNothingNewAndOneThatComesIsUsed) {
   p.start();
   p.idle(100);
--- a/tests/support/platform.h
+++ b/tests/support/platform.h
@@ -184,6 +184,7 @@
   // Another build of the head may be put under the same tests: that a test fails without its mend, say.
   std::string file, program = std::getenv("YEWMOUNTD") ? std::getenv("YEWMOUNTD") : YEWMOUNTD;
   int port = 0;
+  std::vector<std::string> variables;  // of the head's environment, beside its configuration
   // What a node does with a command that it has read whole; by default it answers with the value.
   std::function<void(int node, Conn&, const Words&)> on_command;
   std::function<void(Conn&, const std::string& target)> on_list;
@@ -319,11 +320,13 @@
     write_config();
     std::string variable = "RELAY_CONFIG=" + file;
     char* argv[] = {program.data(), const_cast<char*>("relay"), nullptr};
-    char* env[] = {variable.data(), nullptr};
+    std::vector<char*> env = {variable.data()};
+    for (std::string& v : variables) env.push_back(v.data());
+    env.push_back(nullptr);
     posix_spawn_file_actions_t only_its_own;  // or the head would hold the listeners of this test open
     posix_spawn_file_actions_init(&only_its_own);
     posix_spawn_file_actions_addclosefrom_np(&only_its_own, 3);
-    const int failed = posix_spawn(&head, program.c_str(), &only_its_own, nullptr, argv, env);
+    const int failed = posix_spawn(&head, program.c_str(), &only_its_own, nullptr, argv, env.data());
     posix_spawn_file_actions_destroy(&only_its_own);
     ASSERT_EQ(failed, 0);
     ASSERT_TRUE(until([&] {
--- a/tests/support/syscall_faults.cpp
+++ b/tests/support/syscall_faults.cpp
@@ -1,7 +1,8 @@
 // A library for LD_PRELOAD that makes system calls fail for a moment, as their manual pages allow, and steps
 // the wall clock. For tests only. What it does is drawn from a seed:
 //
-//   YEWMOUNT_FAULTS=seed=7,eintr=0.02,short=0.02,accept=0.1    rates by call; absent ones are zero
+//   YEWMOUNT_FAULTS=seed=7,eintr=0.02,short=0.02,accept=0.1    rates by call; absent ones are zero;
+//                               with errno=103 accept fails with just that one
 //   YEWMOUNT_CLOCK_STEP=FILE    the first eight bytes are the step of the wall clock in microseconds, as they
 //                               stand at each call
 //   YEWMOUNT_FAULTS_LOG=FILE    one line at the process's end: how often each failure was made
@@ -33,10 +34,12 @@
   std::atomic<std::uint64_t> made[kFaults] = {};
   std::atomic<std::uint64_t> state{1};
   const std::int64_t* step = nullptr;
+  int accept_error = 0;
 
   Faults() {
     if (const char* all = std::getenv("YEWMOUNT_FAULTS")) {
       if (const char* at = std::strstr(all, "seed=")) state = std::strtoull(at + 5, nullptr, 10) * 2 + 1;
+      if (const char* at = std::strstr(all, "errno=")) accept_error = std::atoi(at + 6);
       for (int i = 0; i < kFaults; ++i)
         if (const char* at = std::strstr(all, kNames[i]))
           rates[i] = std::atof(at + std::strlen(kNames[i]) + 1);
@@ -97,7 +100,8 @@
 
 bool accept_fails() {
   if (!faults().make(kAccept)) return false;
-  errno = kAcceptErrors[faults().draw() % (sizeof kAcceptErrors / sizeof *kAcceptErrors)];
+  const int error = kAcceptErrors[faults().draw() % (sizeof kAcceptErrors / sizeof *kAcceptErrors)];
+  errno = faults().accept_error ? faults().accept_error : error;
   return true;
 }
 
