Errors of socket calls judged in one place: try again, when ready, later, or over

Cause: Stream::read and Stream::flush took every error but would_block for the connection's end, so EINTR ended it with requests open; Stream::unread took EINTR for unread bytes.

Change: net/socket_errors says for each errno what the next call is; streams, peeks and polls go by it. The listener has files of its own, takes all that stand in the queue at each event, goes on at once after an error that is one connection's, waits only for want of descriptors or memory, and tells since when its queue may have been behind; commands of such newcomers count from then.

Seen: AbortedConnectionsHoldUpNeitherNewcomersNorTheEnd fails before (13 of 30 newcomers waited, no end in 5 s) and passes.

--- a/src/callers/callers.cpp
+++ b/src/callers/callers.cpp
@@ -280,12 +280,13 @@
 
 // A newcomer waits a little where no connection can make room for it at once.
 void Callers::taken(asio::ip::tcp::socket socket) {
-  if (live_.size() < most_ || make_room()) return admit(std::move(socket), 0);
+  if (live_.size() < most_ || make_room()) return admit(std::move(socket), listener_.behind_since());
   if (lobby_.size() >= kLobby) {
     ++counts_.turned_back;
     lobby_.pop_front();  // the socket closes
   }
-  lobby_.emplace_back(monotonic_now() + kLobbyWait, std::move(socket));
+  const Micros now = monotonic_now(), behind = listener_.behind_since();
+  lobby_.push_back({behind > 0 ? behind : now, now + kLobbyWait, std::move(socket)});
 }
 
 void Callers::admit(asio::ip::tcp::socket socket, Micros waiting_since) {
@@ -360,7 +361,7 @@
     if (Session* session = find(c)) session->go_on();
   resuming_.clear();
   while (!lobby_.empty() && (live_.size() < most_ || make_room())) {
-    admit(std::move(lobby_.front().second), lobby_.front().first - kLobbyWait);
+    admit(std::move(lobby_.front().socket), lobby_.front().waiting_since);
     lobby_.pop_front();
   }
 }
@@ -407,7 +408,7 @@
     if (one.first <= now) one.second->close();
     return !one.second->open();
   });
-  while (!lobby_.empty() && lobby_.front().first <= now) {
+  while (!lobby_.empty() && lobby_.front().until <= now) {
     ++counts_.turned_back;
     lobby_.pop_front();
   }
--- a/src/callers/callers.h
+++ b/src/callers/callers.h
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-#include "net/link.h"
+#include "net/listener.h"
 #include "net/stream.h"
 #include "resp/resp.h"
 #include "rules/permits.h"
@@ -88,8 +88,11 @@
   DensePlaces live_;
   std::vector<Caller> dirty_, flushing_, waiting_, resuming_, parting_, parted_;
   std::deque<std::pair<Micros, std::shared_ptr<Session>>> lingering_;  // until when
-  std::deque<std::pair<Micros, asio::ip::tcp::socket>>
-      lobby_;  // accepted, without a place so far, until when
+  struct Newcomer {                                                    // accepted, without a place so far
+    Micros waiting_since, until;
+    asio::ip::tcp::socket socket;
+  };
+  std::deque<Newcomer> lobby_;
   std::size_t ahead_ = 0;
   std::uint64_t last_token_ = 0;
   Micros caught_up_ = 0;
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -3,10 +3,10 @@
 #pragma once
 #include <asio.hpp>
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <string>
 
+#include "net/listener.h"
 #include "net/stream.h"
 #include "wire/wire.h"
 
@@ -38,32 +38,4 @@
   wire::Inbox inbox_;
 };
 
-// Throws std::runtime_error with one line: not an address, or not loopback.
-asio::ip::address loopback(const std::string& address);
-
-// Takes connections at one address.
-class Listener {
- public:
-  using Taken = std::function<void(asio::ip::tcp::socket)>;
-  Listener(asio::io_context& io, const asio::ip::tcp::endpoint& at, Taken taken);
-  Listener(asio::io_context& io, const std::string& address, std::uint16_t port, Taken taken)
-      : Listener(io, {loopback(address), port}, std::move(taken)) {}
-  ~Listener() { *alive_ = false; }
-  Listener(const Listener&) = delete;
-  Listener& operator=(const Listener&) = delete;
-  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
-  void close() {
-    std::error_code ignored;
-    acceptor_.close(ignored);
-  }
-  void finish();  // what has already connected is taken, then it closes: the peer may have sent something
-
- private:
-  void accept();
-  asio::ip::tcp::acceptor acceptor_;
-  asio::steady_timer again_;
-  Taken taken_;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-};
-
 }  // namespace yewmount::net
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -4,6 +4,8 @@
 
 #include <array>
 
+#include "net/socket_errors.h"
+
 namespace yewmount::net {
 
 std::span<char> shared_room() {
@@ -24,12 +26,9 @@
     self->reading_ = false;
     if (!self->open_ || self->held_) return;
     std::size_t bytes = 0;
-    if (!error) {
-      const auto room = self->room();
-      bytes = self->socket_.read_some(asio::buffer(room.data(), room.size()), error);
-    }
+    if (!error) bytes = self->read_now(error);
     if (error == asio::error::eof && self->stays()) return;
-    if (error && error != asio::error::would_block) return self->broken(error);
+    if (error && after_transfer(error) == NextCall::never) return self->broken(error);
     if (self->lingering_)
       self->read_off(bytes);
     else if (bytes > 0)
@@ -38,6 +37,15 @@
   });
 }
 
+std::size_t Stream::read_now(std::error_code& error) {
+  const auto room = this->room();
+  std::size_t bytes = 0;
+  do {
+    bytes = socket_.read_some(asio::buffer(room.data(), room.size()), error);
+  } while (error && after_transfer(error) == NextCall::again);
+  return bytes;
+}
+
 // After the other end's last byte.
 bool Stream::stays() {
   ended_ = true;
@@ -59,22 +67,17 @@
     const std::size_t n = socket_.write_some(asio::buffer(out_.data() + at_, out_.size() - at_), error);
     at_ += n;
     handed_ += n;
-    if (error == asio::error::would_block) {
-      busy_ = true;
-      socket_.async_wait(asio::socket_base::wait_write, [self = shared_from_this()](std::error_code failed) {
-        self->busy_ = false;
-        if (!self->open_) return;
-        if (failed) return self->broken(failed);
-        self->flush();
-        if (self->open_ && !self->lingering_) self->moved();  // its owner has let go of it
-      });
-      if (at_ > kReadBytes) out_.erase(0, at_), at_ = 0;
-      return;
-    }
-    if (error) {
-      // Not from within the owner's own call: it hears of it on a turn of its own.
-      asio::post(socket_.get_executor(), [self = shared_from_this(), error] { self->broken(error); });
-      return;
+    if (!error) continue;
+    switch (after_transfer(error)) {
+      case NextCall::again:
+        continue;
+      case NextCall::ready:
+      case NextCall::later:
+        return flush_when_writable();
+      case NextCall::never:
+        // Not from within the owner's own call: it hears of it on a turn of its own.
+        asio::post(socket_.get_executor(), [self = shared_from_this(), error] { self->broken(error); });
+        return;
     }
   }
   out_.clear();
@@ -86,6 +89,18 @@
   socket_.shutdown(asio::socket_base::shutdown_send, ignored);
 }
 
+void Stream::flush_when_writable() {
+  busy_ = true;
+  socket_.async_wait(asio::socket_base::wait_write, [self = shared_from_this()](std::error_code failed) {
+    self->busy_ = false;
+    if (!self->open_) return;
+    if (failed) return self->broken(failed);
+    self->flush();
+    if (self->open_ && !self->lingering_) self->moved();  // its owner has let go of it
+  });
+  if (at_ > kReadBytes) out_.erase(0, at_), at_ = 0;
+}
+
 void Stream::take_back(std::uint64_t begin, std::uint64_t end) {
   if (begin < handed_ || end > appended() || begin > end) return;
   out_.erase(at_ + (begin - handed_), end - begin);
@@ -117,13 +132,20 @@
 
 bool Stream::unread() {
   char byte;
-  const auto n = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  while (::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0) {
+    const NextCall next = after_transfer({errno, std::system_category()});
+    if (next != NextCall::again) return next == NextCall::never;
+  }
+  return true;
 }
 
 bool Stream::hung_up() {
   pollfd of{socket_.native_handle(), POLLRDHUP, 0};
-  return ::poll(&of, 1, 0) > 0 && (of.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  int ready = 0;
+  do {
+    ready = ::poll(&of, 1, 0);
+  } while (ready < 0 && errno == EINTR);
+  return ready > 0 && (of.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
 void Stream::broken(const std::error_code& why) {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -50,6 +50,8 @@
 
  private:
   void read();
+  std::size_t read_now(std::error_code& error);
+  void flush_when_writable();
   bool stays();
   void read_off(std::size_t bytes);
   asio::ip::tcp::socket socket_;
