A node's start is bounded by the lists around it, not by the wall clock alone

Change: Members::up_since takes the reading with the offset of the process's start and the one of now, keeps those that lie between the list before (less 5 s for the service to notice) and now, and of these the latest; where none does, now. The first list of a process has nothing before it: a start in the future counts as now, one in the past is believed. A head that began after its clock was stepped forward can't know better there.

--- a/src/members/members.cpp
+++ b/src/members/members.cpp
@@ -20,6 +20,8 @@
 // after which a change counts as told where the service has moved.
 constexpr Micros kBehind = 2'000'000;
 constexpr std::size_t kMostBody = 4 << 20;
+constexpr Micros kNotice = 5'000'000;  // that the service may need to notice a start
+constexpr Micros kClockSkew = 50'000;  // between the clock's readings of two moments
 
 }  // namespace
 
@@ -102,7 +104,7 @@
     : io_(io),
       told_(told),
       chance_(static_cast<std::uint32_t>(seed ^ (seed >> 32))),
-      unix_epoch_(wall_now() - monotonic_now()) {}
+      offset_at_start_(wall_now() - monotonic_now()) {}
 
 Members::~Members() {
   *alive_ = false;
@@ -147,23 +149,41 @@
   version_ = version;
   if (kind != ListKind::delta)
     for (Known& n : nodes_) n.state = NodeState::gone;
+  const Micros now = monotonic_now();
   std::vector<NodeEntry> entries;
   for (Read& r : read) {
     const int at = nodes_.index_of(r.name);
     Known& n = nodes_[at];
-    const Micros up_since = r.known.started <= 0 ? 0
-                            : n.started == r.known.started
-                                ? n.up_since
-                                : std::max<Micros>(1, r.known.started - unix_epoch_);
+    const Micros since = up_since(n, r.known.started, now);
     n = std::move(r.known);
     n.name = std::move(r.name);
     n.used = true;
-    n.up_since = up_since;
+    n.up_since = since;
     entries.push_back(nodes_.entry(at));
   }
+  if (kind != ListKind::cached) listed_at_ = now;
   told_.listed(kind, entries);
 }
 
+// A start is told by the wall clock, which may be stepped: here or on all machines, before this process began
+// or since. What runs on is the monotonic clock. A start seen for the first time lies between the list
+// before, less what the service needs to notice it, and now; of the readings that fall there the latest
+// counts, and where none does, now: a node taken for colder than it is loses a little, one taken for warm is
+// run over. The first list has nothing before it: there only a start in the future shows that the clock is
+// wrong.
+Micros Members::up_since(const Known& before, Micros started, Micros now) const {
+  if (started <= 0) return 0;
+  if (before.started == started) return before.up_since;
+  const Micros earliest = listed_at_ > 0 ? std::max<Micros>(1, listed_at_ - kNotice) : 1;
+  Micros latest = 0;
+  for (const Micros offset : {offset_at_start_, wall_now() - now}) {
+    const Micros reading = started - offset;
+    if (listed_at_ == 0 && reading < earliest) return 1;  // long ago
+    if (reading >= earliest && reading <= now + kClockSkew) latest = std::max(latest, std::min(reading, now));
+  }
+  return latest > 0 ? latest : now;
+}
+
 void Members::follow(const asio::ip::tcp::endpoint& at) {
   if (following_ && at == at_) return;
   at_ = at;
--- a/src/members/members.h
+++ b/src/members/members.h
@@ -55,6 +55,7 @@
   void answered(const std::string& body, bool good, bool useful);
   void hang_up();
   void take(ListKind kind, const nlohmann::json& list);
+  Micros up_since(const Known& before, Micros started, Micros now) const;
 
   asio::io_context& io_;
   Told& told_;
@@ -66,7 +67,8 @@
   std::ranlux24_base chance_;
   std::int64_t version_ = -1;
   turns::Roster<Known> nodes_;
-  const Micros unix_epoch_;  // of the loop's clock, taken once: one start must not seem to move
+  const Micros offset_at_start_;  // of the wall clock from the loop's
+  Micros listed_at_ = 0;          // when the service last answered; 0: not yet
   std::uint64_t failures_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
