Failing test: a log that nobody reads stops the head for good

The log's sink writes to standard error with blocking calls on the loop's thread. Seen with a full pipe that nobody reads: the head is never ready, and SIGTERM does not end it in 5 s. At one line of figures (about 1.2 KB) every ten seconds a pipe of 64 KiB is full nine minutes after its reader stopped.

--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -1,5 +1,7 @@
 // The real program on the platform's protocol: each trouble brought about on sockets, the rules held against
 // what crossed them.
+#include <fcntl.h>
+
 #include <algorithm>
 #include <fstream>
 #include <map>
@@ -496,6 +498,23 @@
   EXPECT_EQ(p.answer(read), "-BUSY");
 }
 
+// Whoever reads the log has stopped reading, and its pipe is full.
+TEST_F(Serving, ALogThatNobodyReadsHoldsNothingUp) {
+  int ends[2];
+  ASSERT_EQ(::pipe2(ends, O_CLOEXEC | O_NONBLOCK), 0);
+  const std::string filling(4096, '-');
+  while (::write(ends[1], filling.data(), filling.size()) > 0) {
+  }
+  ASSERT_EQ(::fcntl(ends[1], F_SETFL, 0), 0);  // as a head is handed it: blocking
+  p.log_to = ends[1];
+  p.start();
+  EXPECT_EQ(once().substr(0, 6), "$value");
+  kill(p.head, SIGTERM);
+  EXPECT_EQ(p.ended(5000), 0);
+  ::close(ends[0]);
+  ::close(ends[1]);
+}
+
 // A connection that its client has aborted before it was accepted is an error of accept, and no more than
 // that.
 TEST_F(Serving, AbortedConnectionsHoldUpNeitherNewcomersNorTheEnd) {
--- a/tests/support/platform.h
+++ b/tests/support/platform.h
@@ -186,6 +186,7 @@
   std::string file, program = std::getenv("YEWMOUNTD") ? std::getenv("YEWMOUNTD") : YEWMOUNTD;
   int port = 0;
   std::vector<std::string> variables;  // of the head's environment, beside its configuration
+  int log_to = -1;                     // the head's standard error; -1: this process's
   // What a node does with a command that it has read whole; by default it answers with the value.
   std::function<void(int node, Conn&, const Words&)> on_command;
   std::function<void(Conn&, const std::string& target)> on_list;
@@ -327,6 +328,7 @@
     env.push_back(nullptr);
     posix_spawn_file_actions_t only_its_own;  // or the head would hold the listeners of this test open
     posix_spawn_file_actions_init(&only_its_own);
+    if (log_to >= 0) posix_spawn_file_actions_adddup2(&only_its_own, log_to, STDERR_FILENO);
     posix_spawn_file_actions_addclosefrom_np(&only_its_own, 3);
     const int failed = posix_spawn(&head, program.c_str(), &only_its_own, nullptr, argv, env.data());
     posix_spawn_file_actions_destroy(&only_its_own);
