The log never waits for its reader: what is not taken at once is dropped and counted

Cause: the sink wrote to standard error with blocking calls on the loop's thread; behind a full pipe the head stood still for good. Change: a sink that asks whether standard error takes bytes, writes pieces that a pipe takes whole, drops the rest and says how many lines were lost once it gets through again. Seen: ALogThatNobodyReadsHoldsNothingUp fails before (never ready, no end in 5 s), passes now three of three.

--- a/src/base/base.cpp
+++ b/src/base/base.cpp
@@ -1,10 +1,12 @@
 #include "base/base.h"
 
 #include <fcntl.h>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <poll.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
 #include <cstring>
@@ -32,6 +34,51 @@
 namespace logs {
 namespace {
 
+// What a pipe takes whole, and takes at once where it is writable at all.
+constexpr std::size_t kPipeBuffer = 4096;
+
+// Standard error without ever waiting for its reader: a line that it does not take now is dropped and
+// counted, and the next one that gets through tells how many were. A line goes in pieces that a pipe takes at
+// once; where one can't go on, its end is cut off and the next line starts afresh.
+class StandardError : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+ protected:
+  void sink_it_(const spdlog::details::log_msg& message) override {
+    line_.clear();
+    if (cut_) line_.push_back('\n');
+    if (dropped_ > 0) {
+      const std::string lost =
+          "{\"event\":\"log lines dropped\",\"lines\":" + std::to_string(dropped_) + "}\n";
+      line_.append(lost.data(), lost.data() + lost.size());
+    }
+    formatter_->format(message, line_);
+    const std::size_t written = write_now(line_.data(), line_.size());
+    dropped_ = written > 0 ? 0 : dropped_ + 1;
+    if (written > 0) cut_ = written < line_.size();
+  }
+  void flush_() override {}
+
+ private:
+  // How many bytes it has taken.
+  static std::size_t write_now(const char* bytes, std::size_t size) {
+    std::size_t written = 0;
+    while (written < size) {
+      pollfd of{STDERR_FILENO, POLLOUT, 0};
+      const int ready = ::poll(&of, 1, 0);
+      if (ready < 0 && errno == EINTR) continue;
+      if (ready <= 0 || !(of.revents & POLLOUT)) break;
+      const ssize_t n = ::write(STDERR_FILENO, bytes + written, std::min(size - written, kPipeBuffer));
+      if (n < 0 && errno == EINTR) continue;
+      if (n <= 0) break;
+      written += static_cast<std::size_t>(n);
+    }
+    return written;
+  }
+
+  spdlog::memory_buf_t line_;
+  std::uint64_t dropped_ = 0;
+  bool cut_ = false;
+};
+
 std::shared_ptr<spdlog::logger> logger;
 std::string who;
 
@@ -49,7 +96,7 @@
 }  // namespace
 
 void start(std::string_view program, std::string_view name) {
-  auto sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
+  auto sink = std::make_shared<StandardError>();
   logger = std::make_shared<spdlog::logger>("log", sink);
   logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%fZ","level":"%l",%v)", spdlog::pattern_time_type::utc);
   logger->flush_on(spdlog::level::info);
