--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -733,6 +733,62 @@
   EXPECT_EQ(once(false, 9).substr(0, 6), "$value");
 }
 
+// Where the list is asked for, discovery is a service of limited capacity that all heads share: its answers
+// take their time, and it turns calls away while it is crowded.
+struct Asking : Serving {
+  int calls = 0;
+  void SetUp() override {
+    p.config["settings"]["registry-mode"] = "ask";
+    p.config["settings"]["rules"]["ask-every-s"] = 10.0;
+  }
+  void answer_later(Conn& c, int ms) {
+    auto timer = std::make_shared<asio::steady_timer>(p.io, std::chrono::milliseconds(ms));
+    timer->async_wait([this, timer, conn = c.shared_from_this()](auto) {
+      if (!conn->gone) p.http(*conn, p.entries().dump());
+    });
+  }
+};
+
+TEST_F(Asking, AnAnswerThatTakesItsTimeIsWaitedFor) {
+  p.on_list = [&](Conn& c, const std::string& target) {
+    ++calls;
+    const auto from = target.find("from=");
+    if (from != std::string::npos && std::stoi(target.substr(from + 5)) >= p.version &&
+        !target.ends_with("=0"))
+      return p.waiting.push_back(c.shared_from_this());
+    answer_later(c, 1200);
+  };
+  p.start();
+  p.idle(1500);
+  p.waiting.clear();
+  for (auto& c : p.list->conns) c->reset();  // the watch is lost, and with it the change
+  p.states[1] = "Terminating";
+  ++p.version;
+  const auto changed = Clock::now();
+  auto c = p.client();
+  while (ms_since(changed) < 5500) {
+    p.ask(*c, false, 1, 500);
+    p.idle(100);
+  }
+  long last = 0;
+  for (const auto& run : p.record.runs)
+    if (run.node == 1) last = std::max(last, ms_since(changed) - ms_since(run.at));
+  EXPECT_LT(last, 4000) << "ms after the change";
+  EXPECT_LT(calls, 8);
+}
+
+TEST_F(Asking, RefusalsSlowTheCallsDown) {
+  p.on_list = [&](Conn& c, const std::string&) {
+    ++calls;
+    c.send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+  };
+  p.start();
+  const int before = calls;
+  p.idle(5000);
+  EXPECT_GE(calls - before, 2);
+  EXPECT_LE(calls - before, 8) << "in 5 s";
+}
+
 // A machine's wall clock is stepped: the head's alone, or all machines' together, before the head starts or
 // while it serves. A node that comes back cold gets its slow start all the same, and is not left out.
 struct ClockStep {
