Calls for the list go by a policy: slow answers waited for, refusals slow the calls down

Cause: Members gave every call 0.5 s and made the next 0.05 to 0.15 s after any failure, always for the whole list; right for an agent on this machine, a storm at a shared service that takes up to 2 s and turns calls away.

Change: members/call_policy, without I/O. Where the list is asked for, an answer has 2.2 s, failed calls are made again after 0.25 s, 0.5 s, then 1 s, spread by half; after a failure the changes since the version that stands are asked for, without a wait, and the whole list only where the answer speaks against that version. A watch that goes on keeps the short limit. Pushed lists keep their times.

--- a/src/members/members.cpp
+++ b/src/members/members.cpp
@@ -12,10 +12,7 @@
 using provision::get;
 using provision::get_or;
 
-constexpr Micros kHold = 2'000'000;    // a watch waits so long for news
-constexpr Micros kPatience = 500'000;  // beyond that, for the answer or its next part
-constexpr Micros kWhole = 2'000'000;   // beyond that, for all of it
-constexpr Micros kAgain = 100'000;     // on average, after a call that failed
+constexpr Micros kHold = 2'000'000;  // a watch waits so long for news
 // Older lists for longer are believed. Together with a silent call before, it stays under the four seconds
 // after which a change counts as told where the service has moved.
 constexpr Micros kBehind = 2'000'000;
@@ -100,11 +97,8 @@
   bool done_ = false, good_ = false, keep_ = false;
 };
 
-Members::Members(asio::io_context& io, std::uint64_t seed, Told& told)
-    : io_(io),
-      told_(told),
-      chance_(static_cast<std::uint32_t>(seed ^ (seed >> 32))),
-      offset_at_start_(wall_now() - monotonic_now()) {}
+Members::Members(asio::io_context& io, bool asked, std::uint64_t seed, Told& told)
+    : io_(io), told_(told), policy_(asked, seed), offset_at_start_(wall_now() - monotonic_now()) {}
 
 Members::~Members() {
   *alive_ = false;
@@ -188,8 +182,9 @@
   if (following_ && at == at_) return;
   at_ = at;
   following_ = true;
-  whole_ = true;
+  ask_ = Ask::whole;
   again_at_ = 0;
+  policy_.answered();
   hang_up();
   call();
 }
@@ -207,9 +202,10 @@
   if (call_) {
     waiting_ = true;
     call_->out() += "GET /catalog/members";
-    if (!whole_) {
+    if (ask_ != Ask::whole) {
+      const Micros hold = ask_ == Ask::watch ? kHold : 0;
       call_->out() += "?from=" + std::to_string(version_);
-      call_->out() += "&hold_ms=" + std::to_string(kHold / 1000);
+      call_->out() += "&hold_ms=" + std::to_string(hold / 1000);
     }
     call_->out() += " HTTP/1.1\r\nHost: members\r\n\r\n";
     call_->flush();
@@ -226,14 +222,14 @@
   });
 }
 
-void Members::failed(const std::string& why) {
+void Members::failed(const std::string& why, bool version_sure) {
   ++failures_;
   logs::debug("list of nodes away", {{"why", why}});
   hang_up();
-  // What came meanwhile may have been missed, and the version that stands may be none that the service had.
-  whole_ = true;
-  // Spread, so that a fleet that lost its service at one moment does not come back at one.
-  again_at_ = monotonic_now() + kAgain / 2 + static_cast<Micros>(chance_() % kAgain);
+  // What came meanwhile is asked for at once, without a wait. The version that stands may be none that the
+  // service had: then its answer says so, or it is asked for the whole list.
+  ask_ = ask_ != Ask::whole && version_sure && policy_.names_version() ? Ask::changes : Ask::whole;
+  again_at_ = monotonic_now() + policy_.wait_after_failure();
   told_.listed(ListKind::failed, {});
 }
 
@@ -245,11 +241,12 @@
     const json list = json::parse(body);
     if (!list.is_object()) throw BadInput("a list is an object");
     const bool full = get<bool>(list, "full");
-    if (whole_ && !full) throw BadInput("changes where the whole list was asked for");
+    if (ask_ == Ask::whole && !full) throw BadInput("changes where the whole list was asked for");
     take(full ? ListKind::full : ListKind::delta, list);
-    whole_ = false;
+    ask_ = Ask::watch;
+    policy_.answered();
   } catch (const std::exception& e) {
-    return failed(e.what());
+    return failed(e.what(), !good);
   }
   call();
 }
@@ -263,8 +260,11 @@
     return call();
   }
   if (again_at_ > 0) return;
-  const Micros due = called_ + (waiting_ && !whole_ ? kHold : 0);
-  if (now - std::max(due, heard_) > kPatience || now - due > kWhole) failed("no answer in time");
+  const bool continued = waiting_ && ask_ == Ask::watch;
+  const Micros due = called_ + (continued ? kHold : 0);
+  const Micros within = heard_ > due ? policy_.part_within() : policy_.answer_within(continued);
+  if (now - std::max(due, heard_) > within || now - due > policy_.whole_within(continued))
+    failed("no answer in time");
 }
 
 void Members::tidy() {
--- a/src/members/members.h
+++ b/src/members/members.h
@@ -8,11 +8,11 @@
 #include <cstdint>
 #include <memory>
 #include <nlohmann/json.hpp>
-#include <random>
 #include <span>
 #include <string>
 #include <vector>
 
+#include "members/call_policy.h"
 #include "net/stream.h"
 #include "provision/provision.h"
 #include "rules/rules.h"
@@ -32,7 +32,8 @@
 
 class Members {
  public:
-  Members(asio::io_context& io, std::uint64_t seed, Told& told);
+  // asked: lists come only when asked for, from a service that all heads share.
+  Members(asio::io_context& io, bool asked, std::uint64_t seed, Told& told);
   ~Members();
 
   // The list that the head was started with, as ListKind::cached. Throws provision::BadInput.
@@ -51,7 +52,8 @@
  private:
   class Call;
   void call();
-  void failed(const std::string& why);
+  // version_sure: the answer, if any, says nothing against the version that stands.
+  void failed(const std::string& why, bool version_sure = true);
   void answered(const std::string& body, bool good, bool useful);
   void hang_up();
   void take(ListKind kind, const nlohmann::json& list);
@@ -62,9 +64,12 @@
   asio::ip::tcp::endpoint at_;
   std::shared_ptr<Call> call_;                     // the connection, once it is up
   std::shared_ptr<asio::ip::tcp::socket> socket_;  // while it comes up
-  bool following_ = false, waiting_ = false, whole_ = true;
+  // What the call in hand, or the next one, asks for.
+  enum class Ask { whole, changes, watch };
+  bool following_ = false, waiting_ = false;
+  Ask ask_ = Ask::whole;
   Micros called_ = 0, heard_ = 0, again_at_ = 0, older_since_ = 0;  // heard: of this call's answer, last
-  std::ranlux24_base chance_;
+  CallPolicy policy_;
   std::int64_t version_ = -1;
   turns::Roster<Known> nodes_;
   const Micros offset_at_start_;  // of the wall clock from the loop's
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -112,7 +112,7 @@
              {given_.platform.streams, half(given_.sockets), given_.platform.connect_within,
               given_.platform.idle, given_.memory / kValuePart, given_.memory / kHeldPart},
              *this),
-      members_(io, given_.platform.head.seed, *this),
+      members_(io, given_.platform.head.list_asked, given_.platform.head.seed, *this),
       now_(monotonic_now()),
       rules_(std::make_unique<Head>(given_.platform.head, *this, now_)) {
   members_.know(given_.known);
