--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -498,6 +498,43 @@
   EXPECT_EQ(p.answer(read), "-BUSY");
 }
 
+// This machine has no descriptor, buffer or port for a moment: no node is at fault, and none is taken for
+// bad.
+TEST_F(Serving, ConnectionsThatThisMachineCanNotMakeAreNoFaultOfTheNodes) {
+  p.variables = {"LD_PRELOAD=" SYSCALL_FAULTS, "YEWMOUNT_FAULTS=seed=5,socket=0.4,connect=0.4"};
+  p.config["settings"]["limits"]["conn-idle-s"] = 0.02;  // a new connection for nearly every submit
+  p.start();
+  auto c = p.client();
+  const int all = 200;
+  for (int i = 0; i < all; ++i) {
+    p.ask(*c, i % 2 == 1, i % 3);
+    p.idle(25);
+  }
+  ASSERT_TRUE(p.until([&] { return p.answered(); }));
+  int served = 0;
+  for (const auto& [id, asked] : p.record.asked) served += asked.answers[0][0] == '$';
+  EXPECT_GE(served, all * 6 / 10);
+}
+
+// What a list says is checked before any of it is believed.
+TEST_F(Serving, AListWithFiguresThatCanNotBeIsNotTaken) {
+  p.start();
+  for (const auto& [name, value] : std::vector<std::pair<std::string, nlohmann::json>>{
+           {"cell", 1 << 30}, {"cell", 1e18}, {"weight", 1e308}, {"weight", -1}, {"started_ms", 1e300}}) {
+    auto list = p.entries();
+    list["version"] = ++p.version;
+    list["servers"][1][name] = value;
+    p.on_list = [&](Conn& conn, const std::string&) { p.http(conn, list.dump()); };
+    for (auto& watch : std::exchange(p.waiting, {})) p.http(*watch, list.dump());
+    p.idle(400);
+    EXPECT_EQ(once(false, 1).substr(0, 6), "$value") << name << " " << value;
+  }
+  std::ifstream status("/proc/" + std::to_string(p.head) + "/statm");
+  long pages = 0, resident = 0;
+  status >> pages >> resident;
+  EXPECT_LT(resident * sysconf(_SC_PAGESIZE), 64 << 20);
+}
+
 // Whoever reads the log has stopped reading, and its pipe is full.
 TEST_F(Serving, ALogThatNobodyReadsHoldsNothingUp) {
   int ends[2];
--- a/tests/support/syscall_faults.cpp
+++ b/tests/support/syscall_faults.cpp
@@ -25,8 +25,10 @@
 
 namespace {
 
-enum Fault { kInterrupted, kShort, kAccept, kFaults };
-constexpr const char* kNames[kFaults] = {"eintr", "short", "accept"};
+enum Fault { kInterrupted, kShort, kAccept, kSocket, kConnect, kFaults };
+constexpr const char* kNames[kFaults] = {"eintr", "short", "accept", "socket", "connect"};
+constexpr int kSocketErrors[] = {EMFILE, ENFILE, ENOBUFS, ENOMEM};
+constexpr int kConnectErrors[] = {EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EAGAIN};
 constexpr int kAcceptErrors[] = {ECONNABORTED, EMFILE, ENFILE, ENOBUFS, EPROTO, EINTR};
 
 struct Faults {
@@ -139,6 +141,20 @@
   return accept_fails() ? -1 : call(fd, from, size, flags);
 }
 
+int socket(int domain, int type, int protocol) {
+  static const auto call = real<int (*)(int, int, int)>("socket");
+  if (domain != AF_INET || !faults().make(kSocket)) return call(domain, type, protocol);
+  errno = kSocketErrors[faults().draw() % (sizeof kSocketErrors / sizeof *kSocketErrors)];
+  return -1;
+}
+
+int connect(int fd, const sockaddr* to, socklen_t size) {
+  static const auto call = real<int (*)(int, const sockaddr*, socklen_t)>("connect");
+  if (to->sa_family != AF_INET || !faults().make(kConnect)) return call(fd, to, size);
+  errno = kConnectErrors[faults().draw() % (sizeof kConnectErrors / sizeof *kConnectErrors)];
+  return -1;
+}
+
 int poll(pollfd* all, nfds_t count, int wait) {
   static const auto call = real<int (*)(pollfd*, nfds_t, int)>("poll");
   return interrupted() ? -1 : call(all, count, wait);
