This machine's want of sockets is tried again and blamed on no node; lists' figures are bounded

Cause: Nodes::connect told every error as a connection that the node refused. Members::take believed any figure. Change: net::after_connect tells this machine's errors from the other side's; those are tried again every 10 ms within the connect time-out, and end as not sent, which shuts no node. A list whose cell, weight or start can't be is not taken and says which field is out of its bounds.

--- a/src/members/members.cpp
+++ b/src/members/members.cpp
@@ -17,6 +17,8 @@
 // after which a change counts as told where the service has moved.
 constexpr Micros kBehind = 2'000'000;
 constexpr std::size_t kMostBody = 4 << 20;
+// What a node's entry may hold: cells index a table, weights are summed, starts are Unix times before 2100.
+constexpr double kMostCell = 1 << 16, kMostWeight = 1e6, kLatestStart = 4.1e12;
 constexpr Micros kNotice = 5'000'000;  // that the service may need to notice a start
 constexpr Micros kClockSkew = 50'000;  // between the clock's readings of two moments
 
@@ -35,6 +37,18 @@
   return {address, static_cast<std::uint16_t>(port)};
 }
 
+namespace {
+
+// A figure of a node, or BadInput with the bounds that it breaks.
+double bounded(const json& entry, const char* name, double otherwise, double least, double most) {
+  const double value = get_or<double>(entry, name, otherwise);
+  if (value >= least && value <= most) return value;
+  throw BadInput(std::string("field '") + name + "' is not within " + std::to_string(least) + " to " +
+                 std::to_string(most));
+}
+
+}  // namespace
+
 // One connection to the service: an HTTP answer cut out of the bytes.
 class Members::Call : public net::Stream {
  public:
@@ -125,9 +139,9 @@
                         "state");
     if (r.known.state != NodeState::gone) r.known.at = endpoint(get<std::string>(e, "addr"));
     r.known.zone = get_or<std::string>(e, "zone", "");
-    r.known.shard = get_or<int>(e, "cell", -1);
-    r.known.share = get_or<double>(e, "weight", 1);
-    r.known.started = static_cast<Micros>(get_or<double>(e, "started_ms", 0)) * 1000;
+    r.known.shard = static_cast<int>(bounded(e, "cell", -1, -1, kMostCell));
+    r.known.share = bounded(e, "weight", 1, 0, kMostWeight);
+    r.known.started = static_cast<Micros>(bounded(e, "started_ms", 0, 0, kLatestStart)) * 1000;
     read.push_back(std::move(r));
   }
   const std::int64_t version = get<std::int64_t>(list, "version");
--- a/src/net/socket_errors.h
+++ b/src/net/socket_errors.h
@@ -48,4 +48,23 @@
   }
 }
 
+// Of socket and connect. later: this machine has no descriptor, buffer, port or route for the moment, which
+// says nothing of the other side.
+inline NextCall after_connect(const std::error_code& error) {
+  switch (error.value()) {
+    case EMFILE:
+    case ENFILE:
+    case ENOBUFS:
+    case ENOMEM:
+    case EAGAIN:
+    case EADDRNOTAVAIL:
+    case ENETDOWN:
+    case ENETUNREACH:
+    case EINTR:
+      return NextCall::later;
+    default:
+      return NextCall::never;
+  }
+}
+
 }  // namespace yewmount::net
--- a/src/nodes/nodes.cpp
+++ b/src/nodes/nodes.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 
 #include "base/base.h"
+#include "net/socket_errors.h"
 #include "provision/provision.h"
 
 namespace yewmount::nodes {
@@ -17,6 +18,7 @@
 // Of the time after which a node closes an idle connection: a submit that crosses that closing may have run.
 constexpr double kIdlePart = 0.6;
 constexpr double kMostFigure = 1e9;
+constexpr Micros kConnectAgain = 10'000;  // after this machine had no socket, port or route for a connection
 
 }  // namespace
 
@@ -124,13 +126,19 @@
 
 void Nodes::connect(int at) {
   ++counts_.opened;
+  lines_[at].connect_at = 0;
   auto socket = std::make_shared<asio::ip::tcp::socket>(io_);
   lines_[at].socket = socket;
   socket->async_connect(peers_[lines_[at].node].at,
                         [this, at, socket, alive = alive_](std::error_code error) {
                           if (!*alive || lines_[at].socket != socket) return;
-                          if (error) return gone(at, Closed::not_up, error.message().c_str());
                           Line& line = lines_[at];
+                          if (error && net::after_connect(error) == net::NextCall::later) {
+                            line.socket.reset();
+                            line.connect_at = monotonic_now() + kConnectAgain;
+                            return;
+                          }
+                          if (error) return gone(at, Closed::not_up, error.message().c_str());
                           line.socket.reset();
                           line.wire = std::make_shared<Wire>(std::move(*socket), *this, at);
                           line.wire->start();
@@ -369,9 +377,11 @@
     logs::debug("connection gone",
                 {{"node", peers_[line.node].name}, {"why", why}, {"out", line.out.size()}});
   }
-  // What the socket never took whole can't have been read whole: it surely has not run.
+  // What the socket never took whole can't have been read whole: it surely has not run. Where this machine
+  // could not even begin to connect, the node is not to blame.
+  const Result unsent = line.connect_at > 0 ? Result::not_sent : Result::no_connection;
   for (int o : line.out)
-    if (o >= 0) off(o, left_whole(line, outs_[o]) ? Result::lost : Result::no_connection);
+    if (o >= 0) off(o, left_whole(line, outs_[o]) ? Result::lost : unsent);
   drop(at, reason);
 }
 
@@ -472,6 +482,8 @@
     const bool quiet = line.out.empty();
     if (!line.wire && now - line.since > given_.connect_within)
       gone(l, Closed::not_up, "no connection in time");
+    else if (line.connect_at > 0 && !line.socket && now >= line.connect_at)
+      connect(l);
     else if (line.begun > 0 && now - line.begun > given_.connect_within)
       spoilt(l, "an answer that doesn't go on");
     else if (line.wire && quiet && now - line.answered > static_cast<Micros>(kIdlePart * given_.idle))
