Failing test: our own wire sends what was permitted before the node greeted

The same mistake as in Nodes::write, looked for elsewhere: Carrier::hand sends what waited for the node's greeting without asking again. Fails: the submit leaves.

--- a/tests/carrier/carrier_test.cpp
+++ b/tests/carrier/carrier_test.cpp
@@ -22,6 +22,8 @@
   };
   std::vector<One> all;
   int probes = 0;
+  Denial denial = Denial::none;
+  Denial may_begin(std::uint64_t, int) { return denial; }
   void submit_ended(const carrier::Ended& e) override {
     all.push_back({e.id, e.no, e.result, std::string(e.data)});
   }
@@ -103,6 +105,18 @@
   EXPECT_TRUE(peer.conns[0]->seen.empty()) << "nothing was handed over";
 }
 
+// What was permitted when it was decided may not be any more once the node has greeted.
+TEST_F(Carrying, WhatMayNotBeginAnyMoreDoesNotLeaveOnceTheNodeHasGreeted) {
+  submit(1);
+  ASSERT_TRUE(run_until(
+      io, [&] { return !peer.conns.empty(); }, [&] { turn(); }, 1000));
+  heard.denial = Denial::memory_over;
+  peer.conns.front()->hello("n0");
+  ASSERT_TRUE(until(1));
+  EXPECT_EQ(heard.all[0].result, Result::not_sent);
+  EXPECT_TRUE(peer.conns.front()->seen.empty());
+}
+
 TEST_F(Carrying, AnotherNodeAtTheAddressGetsNothing) {
   peer.on_connect = [](Peer::Conn& c) { c.hello("someone-else"); };
   submit(12);
