--- a/src/carrier/carrier.cpp
+++ b/src/carrier/carrier.cpp
@@ -93,6 +93,10 @@
   Out& out = outs_[at];
   Line& line = lines_[out.line];
   if (!line.greeted) return;
+  if (!out.probe && told_.may_begin(out.id, out.no) != Denial::none) {
+    soon_.push_back({out.key, Result::not_sent});
+    return;
+  }
   out.begin = line.link->appended();
   line.link->out() += out.frame;
   out.end = line.link->appended();
--- a/src/carrier/carrier.h
+++ b/src/carrier/carrier.h
@@ -43,6 +43,9 @@
 class Told {
  public:
   virtual ~Told() = default;
+  // Asked as a submit that had to wait for its node's greeting is about to leave; a denied one ends as not
+  // sent.
+  virtual Denial may_begin(std::uint64_t id, int no) = 0;
   virtual void submit_ended(const Ended& ended) = 0;
   virtual void probe_ended(int node, Result result, Micros lag, const LoadReport& report) = 0;
 };
--- a/src/head/daemon.cpp
+++ b/src/head/daemon.cpp
@@ -251,6 +251,11 @@
   rules_->probed(node, result, lag, report);
 }
 
+Denial Daemon::may_begin(std::uint64_t id, int no) {
+  rules_->at(monotonic_now());
+  return rules_->may_begin(id, no);
+}
+
 void Daemon::submit_ended(const carrier::Ended& given) {
   carrier::Ended ended = given;
 #ifdef YEWMOUNT_PLANTED_FAULT
--- a/src/head/daemon.h
+++ b/src/head/daemon.h
@@ -114,6 +114,7 @@
   void room(door::Session& session) override;
   void left(door::Session& session) override;
   // carrier::Told
+  Denial may_begin(std::uint64_t id, int no) override;
   void submit_ended(const carrier::Ended& ended) override;
   void probe_ended(int node, Result result, Micros lag, const LoadReport& report) override;
   // list::Told
--- a/tests/carrier/carrier_test.cpp
+++ b/tests/carrier/carrier_test.cpp
@@ -23,7 +23,7 @@
   std::vector<One> all;
   int probes = 0;
   Denial denial = Denial::none;
-  Denial may_begin(std::uint64_t, int) { return denial; }
+  Denial may_begin(std::uint64_t, int) override { return denial; }
   void submit_ended(const carrier::Ended& e) override {
     all.push_back({e.id, e.no, e.result, std::string(e.data)});
   }
