--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -814,6 +814,26 @@
   EXPECT_LT(calls, 8);
 }
 
+// Where a fleet starts at one moment, whole lists for all of it take the service longer than the changes.
+TEST_F(Asking, AStartAsksForWhatHasChangedSinceTheListItWasHanded) {
+  std::vector<std::string> targets;
+  p.on_list = [&](Conn& c, const std::string& target) {
+    targets.push_back(target);
+    auto list = p.entries();
+    list["full"] = target.find("from=") == std::string::npos;
+    if (!list["full"]) list["servers"] = nlohmann::json::array({list["servers"][1]});
+    if (targets.size() > 1 && target.find("from=" + std::to_string(p.version)) != std::string::npos) return;
+    p.http(c, list.dump());
+  };
+  p.states[1] = "Terminating";  // since the list that the head was handed
+  ++p.version;
+  p.start();
+  ASSERT_TRUE(p.until([&] { return targets.size() >= 2; }));
+  EXPECT_NE(targets[0].find("from=1"), std::string::npos) << targets[0];
+  EXPECT_EQ(once(false, 0).substr(0, 6), "$value");
+  EXPECT_EQ(once(false, 1, 400), "-BUSY") << "it drains";
+}
+
 TEST_F(Asking, RefusalsSlowTheCallsDown) {
   p.on_list = [&](Conn& c, const std::string&) {
     ++calls;
