A start asks a shared discovery for the changes since the list it was handed

Members::follow asks for changes first where the list is asked for and the process was handed a version; an answer that speaks against it leads to the whole list as before.

--- a/src/members/members.cpp
+++ b/src/members/members.cpp
@@ -194,9 +194,11 @@
 
 void Members::follow(const asio::ip::tcp::endpoint& at) {
   if (following_ && at == at_) return;
+  // The list that this process was handed is one that the service had: what has changed since is shorter, and
+  // where a fleet starts at one moment, the service's capacity is what the last head waits for.
+  ask_ = !following_ && version_ >= 0 && policy_.names_version() ? Ask::changes : Ask::whole;
   at_ = at;
   following_ = true;
-  ask_ = Ask::whole;
   again_at_ = 0;
   policy_.answered();
   hang_up();
