--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -75,3 +75,6 @@
            --faults $<TARGET_FILE:syscall_faults>)
   set_tests_properties(soak_faulty_calls_${seed} PROPERTIES PROCESSORS 4 TIMEOUT 120)
 endforeach()
+add_test(NAME soak_finds_a_planted_fault COMMAND ${CMAKE_SOURCE_DIR}/tests/soak/planted.sh
+         $<TARGET_FILE:yewmount-soak> $<TARGET_FILE:yewmountd-planted>)
+set_tests_properties(soak_finds_a_planted_fault PROPERTIES PROCESSORS 4 TIMEOUT 120)
