--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -355,6 +355,10 @@
   for (auto& [conn, words] : held) p.give(*conn, words);
   ASSERT_TRUE(p.until([&] { return p.answered(); }));
   EXPECT_EQ(p.answer(last), "$value-" + last) << "it had time enough";
+  p.idle(700);
+  const std::string after = p.ask(*c, false, 0, 500);
+  ASSERT_TRUE(p.until([&] { return p.answered(); }));
+  EXPECT_EQ(p.answer(after), "$value-" + after) << "nothing waited before it";
 }
 
 // The same where a newcomer has to wait for a descriptor.
@@ -378,6 +382,29 @@
   ASSERT_TRUE(p.until([&] { return p.answered(); }));
 }
 
+// One that said nothing while it waited has all its time once it asks.
+TEST_F(Serving, ANewcomerThatAsksAfterItsWaitHasAllItsTime) {
+  p.config["limits"]["sockets"] = 64;  // 20 for clients
+  for (auto& group : p.config["settings"]["classes"]) group["objective-s"] = 2.5;
+  p.start();
+  std::vector<std::pair<std::shared_ptr<Conn>, Words>> held;
+  p.on_command = [&](int, Conn& c, const Words& w) { held.emplace_back(c.shared_from_this(), w); };
+  std::vector<std::shared_ptr<Platform::Client>> others;
+  for (int i = 0; i < 20; ++i) {
+    others.push_back(p.client());
+    p.ask(*others.back(), false, i % 3, 3000);
+  }
+  ASSERT_TRUE(p.until([&] { return held.size() >= 3; }));
+  auto newcomer = p.client();
+  p.idle(350);
+  p.on_command = nullptr;
+  for (auto& [conn, words] : held) p.give(*conn, words);
+  p.idle(600);
+  const std::string id = p.ask(*newcomer, false, 0, 500);
+  ASSERT_TRUE(p.until([&] { return p.answered(); }));
+  EXPECT_EQ(p.answer(id), "$value-" + id);
+}
+
 // And where the whole process stood still.
 TEST_F(Serving, TimeThatTheProcessStoodStillIsNotTheNodes) {
   p.start();
