--- a/src/callers/callers.cpp
+++ b/src/callers/callers.cpp
@@ -73,6 +73,11 @@
     owner_.dirty_.push_back(caller(0));
   }
 
+  // A wait in which nothing came is over without consequence.
+  void forget_empty_wait() {
+    if (unread_since_ > 0 && !unread()) unread_since_ = 0;
+  }
+
   // Commands that had to wait.
   void go_on() {
     if (refused_ || over_ || !full_) return;
@@ -219,6 +224,7 @@
     count_ahead();
     held_back_ = full_ && (held_.size() > kMostAhead || owner_.ahead_ > owner_.most_ahead_);
     if (held_back_ && unread_since_ == 0) unread_since_ = monotonic_now();
+    if (!held_back_) forget_empty_wait();
     hold_reading(held_back_);
   }
 
@@ -293,6 +299,7 @@
   const int at = sessions_.claim();
   live_.add(at);
   sessions_[at] = std::make_shared<Session>(std::move(socket), *this, at, ++last_token_, waiting_since);
+  sessions_[at]->forget_empty_wait();
   sessions_[at]->start();
 }
 
