Failing disks in the preloaded library: the log and the configuration hold nothing up

Reads and writes of files interrupted, short, or refused with ENOSPC and EIO. Nothing found: the head serves, reloads and ends; the test stays. The soak's faulty heads get interrupted and short file calls as well.

--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -579,6 +579,21 @@
   ::close(ends[1]);
 }
 
+// The log is a file on a disk that takes nothing, and the configuration comes in pieces.
+TEST_F(Serving, ADiskThatFailsHoldsNothingUp) {
+  char name[] = "/tmp/yewmount-log-XXXXXX";
+  p.log_to = ::mkstemp(name);
+  ASSERT_GE(p.log_to, 0);
+  p.variables = {"LD_PRELOAD=" SYSCALL_FAULTS, "YEWMOUNT_FAULTS=seed=2,disk=0.5,full=0.9"};
+  p.start();
+  kill(p.head, SIGHUP);
+  for (int i = 0; i < 10; ++i) EXPECT_EQ(once(i % 2 == 1, i % 3).substr(0, 6), "$value");
+  kill(p.head, SIGTERM);
+  EXPECT_EQ(p.ended(5000), 0);
+  ::close(p.log_to);
+  ::unlink(name);
+}
+
 // A connection that its client has aborted before it was accepted is an error of accept, and no more than
 // that.
 TEST_F(Serving, AbortedConnectionsHoldUpNeitherNewcomersNorTheEnd) {
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -194,7 +194,7 @@
       variables.push_back("YEWMOUNT_FAULTS_LOG=" + file("faults"));
       if (plan_.faulty[static_cast<std::size_t>(i)])
         variables.push_back("YEWMOUNT_FAULTS=seed=" + std::to_string(plan_.seed + static_cast<unsigned>(i)) +
-                            ",eintr=0.02,short=0.02,accept=0.1,socket=0.03,connect=0.03");
+                            ",eintr=0.02,short=0.02,accept=0.1,socket=0.03,connect=0.03,disk=0.05");
     }
     head.pid = spawn({options_.program, "relay", "--log-level", "debug"}, variables,
                      file("head" + std::to_string(i) + "-" + std::to_string(head.lives) + ".log"));
--- a/tests/support/syscall_faults.cpp
+++ b/tests/support/syscall_faults.cpp
@@ -1,6 +1,8 @@
 // A library for LD_PRELOAD that makes system calls fail for a moment, as their manual pages allow, and steps
 // the wall clock. For tests only. What it does is drawn from a seed:
 //
+// disk: reads and writes of files are interrupted or short; full: writes of files fail with ENOSPC or EIO.
+//
 //   YEWMOUNT_FAULTS=seed=7,eintr=0.02,short=0.02,accept=0.1    rates by call; absent ones are zero;
 //                               with errno=103 accept fails with just that one
 //   YEWMOUNT_CLOCK_STEP=FILE    the first eight bytes are the step of the wall clock in microseconds, as they
@@ -13,6 +15,7 @@
 #include <sys/epoll.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/time.h>
 #include <time.h>
 #include <unistd.h>
@@ -25,8 +28,8 @@
 
 namespace {
 
-enum Fault { kInterrupted, kShort, kAccept, kSocket, kConnect, kFaults };
-constexpr const char* kNames[kFaults] = {"eintr", "short", "accept", "socket", "connect"};
+enum Fault { kInterrupted, kShort, kAccept, kSocket, kConnect, kDisk, kFull, kFaults };
+constexpr const char* kNames[kFaults] = {"eintr", "short", "accept", "socket", "connect", "disk", "full"};
 constexpr int kSocketErrors[] = {EMFILE, ENFILE, ENOBUFS, ENOMEM};
 constexpr int kConnectErrors[] = {EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EAGAIN};
 constexpr int kAcceptErrors[] = {ECONNABORTED, EMFILE, ENFILE, ENOBUFS, EPROTO, EINTR};
@@ -100,6 +103,22 @@
   return size > 1 && faults().make(kShort) ? 1 + faults().draw() % (size - 1) : size;
 }
 
+bool is_file(int fd) {
+  struct stat about;
+  return ::fstat(fd, &about) == 0 && S_ISREG(about.st_mode);
+}
+
+// Of a file's read or write: false where it is interrupted; size is what it moves at most.
+bool file_call(int fd, size_t& size) {
+  if (!is_file(fd) || !faults().make(kDisk)) return true;
+  if (faults().draw() % 2) {
+    errno = EINTR;
+    return false;
+  }
+  if (size > 1) size = 1 + faults().draw() % (size - 1);
+  return true;
+}
+
 bool accept_fails() {
   if (!faults().make(kAccept)) return false;
   const int error = kAcceptErrors[faults().draw() % (sizeof kAcceptErrors / sizeof *kAcceptErrors)];
@@ -141,6 +160,20 @@
   return accept_fails() ? -1 : call(fd, from, size, flags);
 }
 
+ssize_t read(int fd, void* to, size_t size) {
+  static const auto call = real<ssize_t (*)(int, void*, size_t)>("read");
+  return file_call(fd, size) ? call(fd, to, size) : -1;
+}
+
+ssize_t write(int fd, const void* from, size_t size) {
+  static const auto call = real<ssize_t (*)(int, const void*, size_t)>("write");
+  if (is_file(fd) && faults().make(kFull)) {
+    errno = faults().draw() % 2 ? ENOSPC : EIO;
+    return -1;
+  }
+  return file_call(fd, size) ? call(fd, from, size) : -1;
+}
+
 int socket(int domain, int type, int protocol) {
   static const auto call = real<int (*)(int, int, int)>("socket");
   if (domain != AF_INET || !faults().make(kSocket)) return call(domain, type, protocol);
