--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -1,5 +1,7 @@
 #include "net/listener.h"
 
+#include <thread>
+
 #include "base/base.h"
 #include "net/socket_errors.h"
 
@@ -10,12 +12,13 @@
 constexpr std::chrono::milliseconds kRoomWait{20};
 constexpr int kTakenAtOnce = 64;  // so that others get their turn in a flood
 constexpr int kBacklog = 1024;
+constexpr int kOpenTries = 250;  // at a start, kRoomWait apart: five seconds of the ten that a restart has
 
 }  // namespace
 
 Listener::Listener(asio::io_context& io, const asio::ip::tcp::endpoint& at, Taken taken)
     : acceptor_(io), again_(io), taken_(std::move(taken)) {
-  acceptor_.open(at.protocol());
+  open(at.protocol());
   acceptor_.set_option(asio::socket_base::reuse_address(true));
   // Or the library takes ECONNABORTED and EPROTO for an empty queue, and waits for the next connection.
   acceptor_.set_option(asio::socket_base::enable_connection_aborted(true));
@@ -25,6 +28,16 @@
   wait();
 }
 
+// A machine may lack a descriptor or a buffer for a moment; that is no reason not to start.
+void Listener::open(const asio::ip::tcp& protocol) {
+  std::error_code error;
+  for (int tries = 1; acceptor_.open(protocol, error), error; ++tries) {
+    if (after_connect(error) != NextCall::later || tries == kOpenTries)
+      throw std::system_error(error, "open");
+    std::this_thread::sleep_for(kRoomWait);
+  }
+}
+
 void Listener::finish() {
   while (acceptor_.is_open() && take_one()) {
   }
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -32,6 +32,7 @@
   std::int64_t behind_since() const { return behind_since_; }
 
  private:
+  void open(const asio::ip::tcp& protocol);
   void wait();
   void take_all();
   bool take_one();  // false: no more for now
