nodes.h as clang-format writes it

Cause: the file was not run through the formatter after its last edit. Change: white space only; no code differs.

--- a/src/nodes/nodes.h
+++ b/src/nodes/nodes.h
@@ -118,7 +118,7 @@
     std::vector<int> out;  // in the order of their commands; -1: given up, its answer is nobody's
     Micros since = 0, answered = 0;
     Micros connect_at = 0;  // where this machine could not begin the connection: when it is tried again
-    Micros begun = 0;  // when the last part came of an answer that isn't whole yet
+    Micros begun = 0;       // when the last part came of an answer that isn't whole yet
   };
   struct Peer {
     std::string name;
