Review case 2: requests stay unanswered in a long outage of discovery

Cause: a connect to discovery that is given up keeps its descriptor until the kernel ends it two minutes later (DiscoveryClient::close_connection only drops its pointer), and a new one follows every 0.7 s. Once all descriptors are held the head accepts no client.

The discovery stand-in can be cut off: its connection stays silent and new ones never come up.

--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -69,11 +69,13 @@
             json.dump(config, f)
         os.replace(self.file + ".new", self.file)
 
-    def start(self):
+    def start(self, before=None):
+        """`before` is called in the head's process before the command begins, to set its limits."""
         env = dict(os.environ, RELAY_CONFIG=self.file, RELAY_NAME=self.config["name"],
                    RELAY_LISTEN=self.config["listen"], RELAY_DISCOVERY=self.config["discovery"])
         self.process = subprocess.Popen(["/bin/sh", "-c", deploy_command("run")], cwd=ROOT, env=env,
-                                        stdin=subprocess.DEVNULL, stdout=self.log, stderr=self.log)
+                                        stdin=subprocess.DEVNULL, stdout=self.log, stderr=self.log,
+                                        preexec_fn=before)
 
     async def wait_ready(self, seconds=20):
         end = time.monotonic() + seconds
@@ -157,11 +159,28 @@
         self.entries = {}
         self.changed_at = {}
         self.news = asyncio.Condition()
-        self.server = None
+        self.serving = []
+        self.is_cut_off = False
 
     async def start(self, address="127.0.0.1"):
-        self.server = await asyncio.start_server(self.serve, address, 0)
-        self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
+        self.listener = socket.socket()
+        self.listener.setblocking(False)
+        self.listener.bind((address, 0))
+        self.listener.listen(0)
+        self.address = "%s:%d" % self.listener.getsockname()
+        self.accepting = asyncio.create_task(self.accept())
+
+    async def accept(self):
+        while True:
+            connection, _ = await asyncio.get_running_loop().sock_accept(self.listener)
+            reader, writer = await asyncio.open_connection(sock=connection)
+            self.serving.append(asyncio.create_task(self.serve(reader, writer)))
+
+    def cut_off(self):
+        """Like a machine that is cut off: open connections stay open and silent; new ones never come up, as
+        the queue of the listener is full after the first."""
+        self.is_cut_off = True
+        self.accepting.cancel()
 
     def set(self, entry):
         self.entries[entry["id"]] = entry
@@ -193,6 +212,8 @@
                             pass
                     answer = {"version": self.version, "full": False,
                               "servers": [e for i, e in self.entries.items() if self.changed_at[i] > since]}
+                if self.is_cut_off:
+                    return await asyncio.Event().wait()
                 body = json.dumps(answer).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
                              % len(body) + body)
