Log who holds the memory of a head on the platform

Neither the log nor the counts told which buffers hold the bytes, so the guesses could not be told apart: answers that wait for their turn, output that clients do not read, commands, replies of nodes, or memory that the allocator keeps.

Buffers count with their capacity, what is empty included.

--- a/src/base/base.cpp
+++ b/src/base/base.cpp
@@ -1,6 +1,7 @@
 #include "base/base.h"
 
 #include <fcntl.h>
+#include <malloc.h>
 #include <poll.h>
 #include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
@@ -11,6 +12,7 @@
 #include <chrono>
 #include <cstring>
 #include <filesystem>
+#include <fstream>
 #include <random>
 
 namespace yewmount {
@@ -31,6 +33,19 @@
   return (static_cast<std::uint64_t>(entropy()) << 32 | entropy()) >> 1;
 }
 
+ProcessMemory process_memory() {
+  ProcessMemory memory;
+  const struct mallinfo2 heap = ::mallinfo2();
+  memory.heap_used = heap.uordblks + heap.hblkhd;
+  memory.heap_free = heap.fordblks;
+  std::size_t total_pages = 0;
+  std::size_t resident_pages = 0;
+  std::ifstream statm("/proc/self/statm");
+  if (statm >> total_pages >> resident_pages)
+    memory.resident = resident_pages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+  return memory;
+}
+
 namespace logs {
 namespace {
 
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -1,5 +1,6 @@
 // Shared basics of all programs: clocks, random ids, structured logging, and reading and writing of files.
 #pragma once
+#include <cstddef>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -17,6 +18,14 @@
 // generators instead, so that they can be reproduced.
 std::uint64_t random_id();
 
+// Memory of this process in bytes.
+struct ProcessMemory {
+  std::size_t resident = 0;   // in RAM; 0 if the system does not tell
+  std::size_t heap_used = 0;  // allocated by the program
+  std::size_t heap_free = 0;  // freed by the program and kept by the allocator
+};
+ProcessMemory process_memory();
+
 namespace logs {
 
 // Starts logging to standard error, one JSON object per line: time, level, program, name, event, fields.
--- a/src/client_sessions/client_sessions.cpp
+++ b/src/client_sessions/client_sessions.cpp
@@ -51,6 +51,12 @@
     return static_cast<std::size_t>(std::ranges::count(answers_, false, &Answer::is_known));
   }
   Micros last_used_at() const { return last_used_at_; }
+  void add_buffered_bytes(BufferedBytes& total) const {
+    total.input += input_.capacity();
+    for (const Answer& answer : answers_) total.waiting_answers += answer.bytes.capacity();
+    total.pending_output += pending_bytes();
+    total.output_capacity += output_capacity();
+  }
 
   // Returns false if the command has its answer already.
   bool answer(std::uint64_t sequence, std::string_view bytes) {
@@ -389,6 +395,13 @@
   return !session || session->has_peer_closed();
 }
 
+BufferedBytes ClientSessions::buffered_bytes() const {
+  BufferedBytes total;
+  for (int index : active_) sessions_[index]->add_buffered_bytes(total);
+  for (const auto& [expires_at, session] : lingering_) session->add_buffered_bytes(total);
+  return total;
+}
+
 // The time at which input that is read now counts as arrived.
 Micros ClientSessions::arrival_time() const {
   const Micros now = monotonic_now();
--- a/src/client_sessions/client_sessions.h
+++ b/src/client_sessions/client_sessions.h
@@ -56,6 +56,14 @@
   std::uint64_t duplicate_answers = 0;
 };
 
+// Bytes that all sessions hold in memory, lingering ones included.
+struct BufferedBytes {
+  std::size_t input = 0;            // incomplete commands, and commands that wait behind others
+  std::size_t waiting_answers = 0;  // answers that wait behind an unanswered command
+  std::size_t pending_output = 0;   // answers that the sockets have not accepted
+  std::size_t output_capacity = 0;  // memory of the output buffers, including what holds no answer
+};
+
 // Accepts client connections and owns their sessions. Runs on one thread.
 class ClientSessions {
  public:
@@ -88,6 +96,7 @@
   std::size_t size() const { return active_.size(); }
   bool is_closed() const { return active_.size() == 0 && lingering_.empty(); }
   const Counts& counts() const { return counts_; }
+  BufferedBytes buffered_bytes() const;
 
  private:
   class Session;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -26,6 +26,8 @@
   std::uint64_t bytes_appended() const { return bytes_written_ + out_.size() - sent_offset_; }
   // Bytes appended and not yet accepted by the socket.
   std::size_t pending_bytes() const { return out_.size() - sent_offset_; }
+  // Memory of the output buffer in bytes, the part that holds no pending output included.
+  std::size_t output_capacity() const { return out_.capacity(); }
   // Bytes that the socket has accepted since the start; exact at any time, as writes are synchronous.
   std::uint64_t bytes_written() const { return bytes_written_; }
   // Removes the appended bytes from position `begin` up to `end`, counted from the start, unless the socket
--- a/src/node_connections/node_connections.cpp
+++ b/src/node_connections/node_connections.cpp
@@ -256,6 +256,19 @@
   unflushed_connections_.clear();
 }
 
+BufferedBytes NodeConnections::buffered_bytes() const {
+  BufferedBytes total;
+  for (int s : outstanding_)
+    if (submits_[s].connection >= 0 && submits_[s].end == 0)
+      total.waiting_commands += submits_[s].command.bytes();
+  for (int c : open_connections_) {
+    if (!connections_[c].stream) continue;
+    total.output_capacity += connections_[c].stream->output_capacity();
+    total.incomplete_replies += connections_[c].stream->partial_reply.capacity();
+  }
+  return total;
+}
+
 // Separates a submit from its connection and queues its result for the next deliver_results().
 void NodeConnections::detach(int submit_index, Result result) {
   OutstandingSubmit& submit = submits_[submit_index];
--- a/src/node_connections/node_connections.h
+++ b/src/node_connections/node_connections.h
@@ -92,6 +92,13 @@
   std::array<std::uint64_t, kDenialReasonNames.size()> denied = {};  // by DenialReason
 };
 
+// Bytes that the connections to all nodes hold in memory.
+struct BufferedBytes {
+  std::size_t waiting_commands = 0;    // that are not in an output buffer yet
+  std::size_t output_capacity = 0;     // memory of the output buffers, including what holds no command
+  std::size_t incomplete_replies = 0;  // memory of the replies received in part
+};
+
 // The connection pool to all nodes. Nodes are identified by small indices that the caller assigns.
 class NodeConnections {
  public:
@@ -123,6 +130,7 @@
   void flush();
   std::size_t connection_count() const { return open_connections_.size(); }
   const Counts& counts() const { return counts_; }
+  BufferedBytes buffered_bytes() const;
 
  private:
   struct Connection;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -182,6 +182,7 @@
     members_.check_timeouts(now_);
     sessions_.close_overdue(now_);
     sessions_.flush();
+    if (is_tracing_) logs::debug("memory", memory_report());
   }
   if (now_ - last_second_at_ >= kSecondUs) run_every_second(now_);
 }
@@ -233,6 +234,7 @@
             {"unasked_values", counts_.violations.unexpected_results},
             {"closed_unanswered", session_counts.closed_unanswered},
             {"answered_again", session_counts.duplicate_answers}}},
+          {"memory", memory_report()},
           {"list", members_.version()},
           {"nodes", members_.node_count()},
           {"volumes", volumes_.size()},
@@ -241,6 +243,23 @@
           {"longest_turn_us", counts_.longest_iteration}};
 }
 
+nlohmann::ordered_json Relay::memory_report() const {
+  const ProcessMemory process = process_memory();
+  const client_sessions::BufferedBytes clients = sessions_.buffered_bytes();
+  const node_connections::BufferedBytes nodes = nodes_.buffered_bytes();
+  return {{"resident", process.resident},
+          {"heap_used", process.heap_used},
+          {"heap_free", process.heap_free},
+          {"active_commands", command_bytes_},
+          {"client_input", clients.input},
+          {"waiting_answers", clients.waiting_answers},
+          {"client_output_pending", clients.pending_output},
+          {"client_output_capacity", clients.output_capacity},
+          {"node_commands", nodes.waiting_commands},
+          {"node_output_capacity", nodes.output_capacity},
+          {"incomplete_replies", nodes.incomplete_replies}};
+}
+
 void Relay::drain() {
   if (drain_deadline_ > 0) return;
   Micros longest = 0;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -82,6 +82,8 @@
   void set_tracing(bool on) { is_tracing_ = on; }
   // The counters and gauges for the log.
   nlohmann::ordered_json report() const;
+  // The bytes held in memory, by what holds them.
+  nlohmann::ordered_json memory_report() const;
 
  private:
   // A block I/O that has no final answer yet.
