Give the memory of emptied buffers back

Cause: buffers were to be released by `buffer = {}`. For std::string and std::vector that is the assignment of an empty initializer list, which keeps the capacity; `= std::string()` keeps it too. So each client connection held up to 256 KiB and each connection to a node 128 KiB while empty, and slots of ended requests the longest body that they had carried. The HTTP front end did the same with its input, output and bodies, and never released the output of its sessions or the frames of its links.

Change: clear_buffer() empties a buffer and frees what is above 4 KiB. net::Stream uses it when its output has left, so every door and link has it; the relay, the HTTP sessions, the daemon and the node connections use it where they meant to free. FrameDecoder::trim() does it for frames.

Measured: EmptyBuffersOfIdleConnectionsHoldNoMemory failed before with 13.0 MB of growth (2 allowed) and passes; IdleConnectionsAndEndedRequestsHoldNoMemory failed before with 22.6 MB (3 allowed) and passes.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -52,7 +52,7 @@
 
 yewmount_test(resp SOURCES tests/resp/resp_test.cpp USES yewmount_resp)
 yewmount_test(relay SOURCES tests/relay/relay_test.cpp tests/relay/node_connections_test.cpp
-              tests/relay/connection_reuse_test.cpp
+              tests/relay/connection_reuse_test.cpp tests/relay/memory_test.cpp
               USES yewmount_node_connections nlohmann_json::nlohmann_json PROPERTIES PROCESSORS 2 TIMEOUT 60)
 target_compile_definitions(relay_tests PRIVATE YEWMOUNTD="$<TARGET_FILE:yewmountd>"
                            YEWMOUNTD_PLANTED="$<TARGET_FILE:yewmountd-planted>"
--- a/src/client_sessions/client_sessions.cpp
+++ b/src/client_sessions/client_sessions.cpp
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "base/base.h"
+#include "base/buffer.h"
 
 namespace yewmount::client_sessions {
 namespace {
@@ -174,7 +175,7 @@
   }
 
   void discard_input() {
-    input_ = {};
+    clear_buffer(input_);
     input_parts_.clear();
     update_queued_bytes();
   }
@@ -202,8 +203,6 @@
   void on_write_progress() override {
     if (answers_.empty() && pending_bytes() == 0 && (input_rejected_ || peer_eof_seen_))
       return owner_.close_session(index_, input_rejected_ ? CloseReason::unreadable : CloseReason::ended);
-    // Frees the memory that a burst of long answers needed.
-    if (pending_bytes() == 0 && out().capacity() > kMaxPendingOutputBytes) out() = {};
     if (at_limit_ && !is_at_limit()) owner_.resumable_.push_back(command_id(0));
   }
 
@@ -259,7 +258,7 @@
   // Keeps unparsed input, with the arrival times of its parts. `used` is the number of parsed bytes.
   void keep_input(std::string_view rest, std::size_t used, Micros arrived_at) {
     if (rest.empty()) {
-      input_ = {};
+      clear_buffer(input_);
       input_parts_.clear();
       return;
     }
--- a/src/head/daemon.cpp
+++ b/src/head/daemon.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "base/base.h"
+#include "base/buffer.h"
 #include "checksums/checksums.h"
 #include "settings/json_schema.h"
 
@@ -414,7 +415,7 @@
   block_io_index_.erase(block_io.id);
   active_block_ios_.erase(block_io_index);
   block_io.is_live = false;
-  block_io.data = {};
+  clear_buffer(block_io.data);
   request.block_io = -1;
   block_ios_.release(block_io_index);
   (this->*handler)(request_index, outcome, data);
@@ -458,7 +459,7 @@
   request.is_live = false;
   open_requests_.erase(request_index);
   request.session.reset();
-  request.body = {};
+  clear_buffer(request.body);
   requests_.release(request_index);
 }
 
@@ -592,7 +593,7 @@
     scheduler_->on_client_disconnected(block_io.id);
     block_io_index_.erase(block_io.id);
     active_block_ios_.erase(request.block_io);
-    block_io.data = {};
+    clear_buffer(block_io.data);
     block_ios_.release(request.block_io);
     request.block_io = -1;
   }
--- a/src/http_server/http_server.cpp
+++ b/src/http_server/http_server.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/base.h"
+#include "base/buffer.h"
 
 namespace yewmount::http_server {
 namespace {
@@ -344,6 +345,7 @@
     in_.clear();
   }
   parsing_ = false;
+  if (in_.empty()) clear_buffer(in_);
 }
 
 // Waits until input is available and then reads into the server's shared buffer, so that idle connections, of
@@ -363,7 +365,7 @@
     self->parse();
     // Input after a refusal is read and discarded: closing with unread input would reset the connection, and
     // the client could lose the refusal.
-    if (self->closing_) self->in_.clear();
+    if (self->closing_) clear_buffer(self->in_);
     self->read();
   });
 }
@@ -394,7 +396,7 @@
       return;
     }
   }
-  out_.clear();
+  clear_buffer(out_);
   written_ = 0;
   if (answer_begun_ && !answer_ended_) return notify_writable();
   // Only sending is shut down: a full close with unread input would reset the connection, and the client
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -16,6 +16,7 @@
       }
       handler_->on_frame(*this, frame);
     }
+    decoder_.trim(kReadBufferBytes);
   } catch (const wire::MalformedFrame& error) {
     if (!open()) return;
     const std::string why = std::string("malformed: ") + error.what();
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 
+#include "base/buffer.h"
 #include "net/socket_errors.h"
 
 namespace yewmount::net {
@@ -82,7 +83,7 @@
         return;
     }
   }
-  out_.clear();
+  clear_buffer(out_);
   sent_offset_ = 0;
   if (close_after_flush_) return close();
   if (!lingering_) return;
--- a/src/node_connections/node_connections.cpp
+++ b/src/node_connections/node_connections.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 
 #include "base/base.h"
+#include "base/buffer.h"
 #include "net/socket_errors.h"
 #include "provision/provision.h"
 
@@ -186,8 +187,7 @@
     resp::append_bulk_string(stream->out(), fields_);
     stream->out() += submit.command.suffix;
     submit.end = stream->bytes_appended();
-    // Slots of ended submits are reused: release the memory of large bodies.
-    if (submit.command.suffix.capacity() > resp::kMaxLineBytes) submit.command.suffix = {};
+    clear_buffer(submit.command.suffix);
     stream->flush();
   }
 }
@@ -296,6 +296,7 @@
                     .value = {}};
   outstanding_.erase(submit_index);
   submits_[submit_index].id = 0;  // invalidates pending results of this submit
+  clear_buffer(submits_[submit_index].command.suffix);
   submits_.release(submit_index);
   if (reply && reply->kind == resp::Reply::Kind::array) {
     ended.value = reply->values[0];
@@ -361,7 +362,7 @@
   if (continued && unparsed.size() < partial.size()) {
     buffered_bytes_ -= partial.size() - unparsed.size();
     partial.erase(0, partial.size() - unparsed.size());
-    if (partial.empty()) partial = {};  // releases the memory of a long reply
+    if (partial.empty()) clear_buffer(partial);
   } else if (!continued && !unparsed.empty()) {
     buffered_bytes_ += unparsed.size();
     partial = unparsed;
--- a/src/node_transport/node_transport.cpp
+++ b/src/node_transport/node_transport.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/base.h"
+#include "base/buffer.h"
 
 namespace yewmount::node_transport {
 namespace {
@@ -112,7 +113,7 @@
   connection.link->out() += request.frame;
   request.end = connection.link->bytes_appended();
   request.is_sent = true;
-  request.frame.clear();
+  clear_buffer(request.frame);
   unflushed_.push_back(request.connection);
 }
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 
 #include "base/base.h"
+#include "base/buffer.h"
 #include "settings/json_schema.h"
 
 namespace yewmount::relay {
@@ -463,8 +464,7 @@
   by_client_id_.erase(request.client_id);
   active_.erase(index);
   requests_.release(index);
-  if (request.command.suffix.capacity() > resp::kMaxLineBytes)
-    request.command.suffix = {};  // frees the memory of a long value
+  clear_buffer(request.command.suffix);
 }
 
 void Relay::shed(std::uint64_t id, Micros come_back_after, RejectionReason why) {
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -465,6 +465,12 @@
   return {bytes_.data() + filled_, bytes_.size() - filled_};
 }
 
+void FrameDecoder::trim(std::size_t keep) {
+  if (has_partial_frame() || bytes_.size() <= keep) return;
+  std::string().swap(bytes_);
+  consumed_ = filled_ = 0;
+}
+
 bool FrameDecoder::next(Frame& frame) {
   const std::size_t available = filled_ - consumed_;
   const char* at = bytes_.data() + consumed_;
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -292,6 +292,9 @@
   // Extracts the next frame; returns false if none is complete. Throws MalformedFrame.
   bool next(Frame& frame);
   bool has_partial_frame() const { return filled_ > consumed_; }
+  // Frees memory beyond `keep` bytes if no part of a frame is left; invalidates the frames that next() has
+  // returned.
+  void trim(std::size_t keep);
 
  private:
   std::string bytes_;
--- a/tests/head/head_test.cpp
+++ b/tests/head/head_test.cpp
@@ -222,6 +222,36 @@
   EXPECT_EQ(status(http.get("/v/rosters/may")), 404);
 }
 
+// Guards against buffers that keep their memory when they are emptied: idle connections and ended requests
+// held as much as the longest body that each had carried.
+TEST_F(HeadTest, IdleConnectionsAndEndedRequestsHoldNoMemory) {
+  start();
+  const std::string text(150'000, 'x');
+  std::vector<std::unique_ptr<HttpClient>> clients;
+  for (int i = 0; i < 40; ++i) clients.push_back(std::make_unique<HttpClient>(port));
+  ASSERT_EQ(status(clients[0]->put("/v/first", text)), 201);
+  const std::size_t before = process_memory().heap_used;
+  for (std::size_t i = 0; i < clients.size(); ++i)
+    clients[i]->send("PUT /v/o" + std::to_string(i) +
+                     " HTTP/1.1\r\nHost: h\r\nContent-Length: 150000\r\n\r\n" + text.substr(1));
+  for (auto& client : clients) client->send("x");
+  for (auto& client : clients) EXPECT_EQ(status(client->read_response()), 201);
+  for (auto& client : clients) {
+    EXPECT_EQ(body(client->get("/v/first")), text);
+    std::string().swap(client->received);
+  }
+  std::size_t stored = 0;  // by the scripted nodes, in this process too
+  asio::post(services_io, [&] {
+    for (const auto& [extent, bytes] : data) stored += bytes.capacity();
+    data.clear();
+    for (const auto& node : nodes)
+      for (const auto& connection : node->conns) connection->inbox.trim(0);
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  EXPECT_GT(stored, clients.size() * text.size());
+  EXPECT_LT(process_memory().heap_used, before + clients.size() * text.size() / 2);
+}
+
 TEST_F(HeadTest, AWriteWhoseConnectionIsResetAfterItsLastByteIsNeitherRetriedNorShed) {
   int writes = 0;
   on_submit = [&](Peer::Conn& c, const wire::Submit&) {
--- a/tests/support/platform.h
+++ b/tests/support/platform.h
@@ -200,6 +200,7 @@
   std::string program = std::getenv("YEWMOUNTD") ? std::getenv("YEWMOUNTD") : YEWMOUNTD;
   int port = 0;
   std::vector<std::string> variables;  // added to the head's environment
+  std::vector<std::string> arguments;  // added to the head's command line
   int log_fd = -1;                     // file descriptor for the head's standard error; -1: this process's
   // Handles a complete command at a node; by default the node answers with the value.
   std::function<void(int node, Conn&, const Words&)> on_command;
@@ -336,7 +337,9 @@
   void start() {
     write_config();
     std::string variable = "RELAY_CONFIG=" + config_file;
-    char* argv[] = {program.data(), const_cast<char*>("relay"), nullptr};
+    std::vector<char*> argv = {program.data(), const_cast<char*>("relay")};
+    for (std::string& argument : arguments) argv.push_back(argument.data());
+    argv.push_back(nullptr);
     std::vector<char*> env = {variable.data()};
     for (std::string& entry : variables) env.push_back(entry.data());
     env.push_back(nullptr);
@@ -344,7 +347,7 @@
     posix_spawn_file_actions_init(&file_actions);
     if (log_fd >= 0) posix_spawn_file_actions_adddup2(&file_actions, log_fd, STDERR_FILENO);
     posix_spawn_file_actions_addclosefrom_np(&file_actions, 3);
-    const int error = posix_spawn(&head, program.c_str(), &file_actions, nullptr, argv, env.data());
+    const int error = posix_spawn(&head, program.c_str(), &file_actions, nullptr, argv.data(), env.data());
     posix_spawn_file_actions_destroy(&file_actions);
     ASSERT_EQ(error, 0);
     ASSERT_TRUE(until([&] {
