Bound the memory of answers that wait for their turn

Cause: an answer is kept until all earlier commands of its connection are answered. Each connection may have 32 commands open with 64 KiB each, and nothing bounded the sum (Session::answer). The same held for answers whose turn had come and whose client did not read: all went to the output buffer, 2 MiB a connection, since its limit only held back further commands.

Change: answers of all connections, waiting or unsent, share a sixth of the memory. Before a value is kept that finds no room, the unanswered command that blocks the most bytes ends: Head::end_early sheds it where that is safe and fails it otherwise, and what waits behind it leaves. Answers move to the output buffer only as it drains, so that those of a client that does not read can still be replaced; only where nothing is blocked is a value dropped and its command answered as failed. Short answers, among them those of writes, are always kept. Every command still has one answer, at its time or before.

--- a/src/client_sessions/client_sessions.cpp
+++ b/src/client_sessions/client_sessions.cpp
@@ -66,19 +66,50 @@
       return false;
     Answer& entry = answers_[sequence - first_sequence_];
     entry.is_known = true;
-    if (sequence != first_sequence_) {
-      entry.bytes = bytes;
-      return true;
+    entry.bytes = bytes;
+    waiting_answer_bytes_ += bytes.size();
+    move_answers_to_output(kMaxPendingOutputBytes);
+    return true;
+  }
+
+  // Bytes of answers that wait behind an unanswered command.
+  std::size_t blocked_bytes() const {
+    return answers_.empty() || answers_.front().is_known ? 0 : waiting_answer_bytes_;
+  }
+  // Whether the answer to this command would go straight to the socket, which has accepted all before it.
+  bool can_send_now(std::uint64_t sequence) const {
+    return sequence == first_sequence_ && pending_bytes() == 0;
+  }
+  CommandId first_unanswered() const { return command_id(first_sequence_); }
+
+  // Moves the answers whose turn it is to the output buffer until that holds `max_pending` bytes. Returns
+  // whether it moved any.
+  bool move_answers_to_output(std::size_t max_pending) {
+    std::size_t count = 0;
+    for (; count < answers_.size() && answers_[count].is_known && pending_bytes() < max_pending; ++count) {
+      out() += answers_[count].bytes;
+      waiting_answer_bytes_ -= answers_[count].bytes.size();
+      std::string().swap(answers_[count].bytes);
     }
-    out() += bytes;
-    std::size_t count = 1;
-    for (; count < answers_.size() && answers_[count].is_known; ++count) out() += answers_[count].bytes;
+    update_answer_bytes();
+    if (count == 0) return false;
     answers_.erase(answers_.begin(), answers_.begin() + static_cast<std::ptrdiff_t>(count));
     first_sequence_ += count;
     last_used_at_ = monotonic_now();
     return true;
   }
 
+  // Updates the owner's total of bytes of answers.
+  void update_answer_bytes() {
+    const std::size_t now = waiting_answer_bytes_ + (open() ? pending_bytes() : 0);
+    owner_.answer_bytes_ += now - counted_answer_bytes_;
+    counted_answer_bytes_ = now;
+  }
+  void close_and_release_answers() {
+    close();
+    update_answer_bytes();
+  }
+
   // Answers malformed input with an error line, after the answers to earlier commands, and ignores all
   // further input.
   void reject_input(std::string_view why) {
@@ -155,13 +186,15 @@
     for (std::size_t i = 0; i < answers_.size(); ++i)
       if (!answers_[i].is_known) on_unanswered(command_id(first_sequence_ + i));
     answers_.clear();
+    waiting_answer_bytes_ = 0;
+    update_answer_bytes();
     discard_input();
   }
 
  private:
   struct Answer {
     bool is_known = false;
-    std::string bytes;  // kept until all earlier commands are answered
+    std::string bytes;  // until it is moved to the output buffer
   };
 
   CommandId command_id(std::uint64_t sequence) const { return {index_, connection_id_, sequence}; }
@@ -201,6 +234,8 @@
 
   // Closes the session after its last answer, or lets commands continue that waited for pending output.
   void on_write_progress() override {
+    while (open() && move_answers_to_output(kMaxPendingOutputBytes)) flush();
+    if (!open()) return;
     if (answers_.empty() && pending_bytes() == 0 && (input_rejected_ || peer_eof_seen_))
       return owner_.close_session(index_, input_rejected_ ? CloseReason::unreadable : CloseReason::ended);
     if (at_limit_ && !is_at_limit()) owner_.resumable_.push_back(command_id(0));
@@ -249,7 +284,7 @@
     keep_input(all.substr(used), used, arrived_at);
     update_queued_bytes();
     reading_paused_ =
-        at_limit_ && (input_.size() > kMaxQueuedBytes || owner_.queued_bytes_ > owner_.max_queued_bytes_);
+        at_limit_ && (input_.size() > kMaxQueuedBytes || owner_.queued_bytes_ > owner_.limits_.queued_bytes);
     if (reading_paused_ && unread_since_ == 0) unread_since_ = monotonic_now();
     if (!reading_paused_) reset_unread_since_if_empty();
     pause_reading(reading_paused_);
@@ -291,12 +326,14 @@
   ClientSessions& owner_;
   const int index_;
   const std::uint64_t connection_id_;
-  std::vector<Answer> answers_;  // of commands, from the first unanswered one on
+  std::vector<Answer> answers_;  // from the first that is not in the output buffer on
   std::uint64_t first_sequence_ = 0;
   std::uint64_t last_bytes_written_ = 0;
   std::string input_;  // an incomplete command, or commands that wait because of a limit
   std::vector<InputPart> input_parts_;
-  std::size_t counted_bytes_ = 0;  // this session's share of the owner's queued_bytes_
+  std::size_t counted_bytes_ = 0;         // this session's share of the owner's queued_bytes_
+  std::size_t waiting_answer_bytes_ = 0;  // of answers_
+  std::size_t counted_answer_bytes_ = 0;  // this session's share of the owner's answer_bytes_
   bool has_sent_command_ = false;
   bool at_limit_ = false;
   bool reading_paused_ = false;
@@ -309,12 +346,10 @@
   Micros unread_since_;       // since when bytes may be waiting in the socket; 0: none are
 };
 
-ClientSessions::ClientSessions(asio::io_context& io, const asio::ip::tcp::endpoint& endpoint,
-                               std::size_t max_connections, std::size_t max_queued_bytes,
+ClientSessions::ClientSessions(asio::io_context& io, const asio::ip::tcp::endpoint& endpoint, Limits limits,
                                CommandHandler& handler)
     : io_(io),
-      max_connections_(max_connections),
-      max_queued_bytes_(max_queued_bytes),
+      limits_(limits),
       handler_(handler),
       listener_(io, endpoint, [this](asio::ip::tcp::socket socket) { on_accept(std::move(socket)); }) {}
 
@@ -325,7 +360,7 @@
 
 // A connection for which no session can be freed waits shortly; if too many wait, the oldest is closed.
 void ClientSessions::on_accept(asio::ip::tcp::socket socket) {
-  if (active_.size() < max_connections_ || evict_idle_session())
+  if (active_.size() < limits_.connections || evict_idle_session())
     return open_session(std::move(socket), listener_.backlogged_since());
   if (waiting_connections_.size() >= kMaxWaitingConnections) {
     ++counts_.rejected_connections;
@@ -389,6 +424,33 @@
   }
 }
 
+// Returns the session with the most bytes behind an unanswered command, or null if there are none.
+std::shared_ptr<ClientSessions::Session> ClientSessions::most_blocked_session() const {
+  std::shared_ptr<Session> most_blocked;
+  for (int index : active_) {
+    const std::size_t bytes = sessions_[index]->blocked_bytes();
+    if (bytes > (most_blocked ? most_blocked->blocked_bytes() : 0)) most_blocked = sessions_[index];
+  }
+  return most_blocked;
+}
+
+// Ending one command lets all answers behind it leave, whereas dropping an answer wastes the work of its
+// node.
+bool ClientSessions::make_room(const CommandId& id, std::size_t bytes) {
+  if (bytes <= resp::kMaxLineBytes) return true;
+  while (answer_bytes_ + bytes > limits_.answer_bytes) {
+    const std::shared_ptr<Session> session = most_blocked_session();
+    if (!session) break;
+    const CommandId blocking = session->first_unanswered();
+    if (blocking.connection_id == id.connection_id && blocking.sequence == id.sequence) break;
+    ++counts_.ended_for_memory;
+    handler_.on_answers_blocked(blocking);
+    session->flush_output();
+  }
+  const Session* const session = find(id);
+  return !session || answer_bytes_ + bytes <= limits_.answer_bytes || session->can_send_now(id.sequence);
+}
+
 bool ClientSessions::has_client_closed(const CommandId& id) const {
   Session* session = find(id);
   return !session || session->has_peer_closed();
@@ -421,7 +483,7 @@
   for (const CommandId& id : resuming_)
     if (Session* session = find(id)) session->resume();
   resuming_.clear();
-  while (!waiting_connections_.empty() && (active_.size() < max_connections_ || evict_idle_session())) {
+  while (!waiting_connections_.empty() && (active_.size() < limits_.connections || evict_idle_session())) {
     open_session(std::move(waiting_connections_.front().socket), waiting_connections_.front().unread_since);
     waiting_connections_.pop_front();
   }
@@ -457,8 +519,8 @@
   ++counts_.lingering_closes;
   lingering_.emplace_back(monotonic_now() + kLingerTimeoutUs, session);
   session->close_lingering();
-  while (active_.size() + lingering_.size() > max_connections_ + kMaxExtraLingering) {
-    lingering_.front().second->close();
+  while (active_.size() + lingering_.size() > limits_.connections + kMaxExtraLingering) {
+    lingering_.front().second->close_and_release_answers();
     lingering_.pop_front();
   }
 }
@@ -469,6 +531,7 @@
     if (const auto reason = sessions_[index]->check_timeouts(now)) close_session(index, *reason);
   std::erase_if(lingering_, [&](auto& entry) {
     if (entry.first <= now) entry.second->close();
+    entry.second->update_answer_bytes();
     return !entry.second->open();
   });
   while (!waiting_connections_.empty() && waiting_connections_.front().expires_at <= now) {
@@ -488,6 +551,7 @@
   std::vector<int> indexes(active_.begin(), active_.end());
   for (int index : indexes) {
     sessions_[index]->reject_queued_commands();
+    sessions_[index]->move_answers_to_output(SIZE_MAX);
     close_session(index, CloseReason::stopping);
   }
 }
--- a/src/client_sessions/client_sessions.h
+++ b/src/client_sessions/client_sessions.h
@@ -1,6 +1,9 @@
 // Client connections that speak RESP2: parses commands, passes them to a handler and sends the answers in the
 // order of the commands. It does not interpret commands. Malformed input is answered with an error line, then
 // the connection closes. All queues are bounded.
+//
+// An answer is kept until all earlier commands of its connection are answered and the socket has accepted
+// nearly all output before it. The memory for this has one limit for all connections: see make_room().
 #pragma once
 #include <asio.hpp>
 #include <cstdint>
@@ -39,6 +42,9 @@
   // The client has ended its sending side and either has disconnected or only reads. No further attempt of
   // this command may begin; an answer that results from earlier attempts is still sent.
   virtual void on_half_close(const CommandId& id) = 0;
+  // The answers behind this unanswered command need more memory than there is. It must be answered in this
+  // call.
+  virtual void on_answers_blocked(const CommandId& id) = 0;
 };
 
 using permits::CloseReason;
@@ -49,6 +55,7 @@
   std::uint64_t rejected_connections = 0;  // closed because no session became free in time
   std::uint64_t half_closed = 0;           // clients that ended their sending side
   std::uint64_t lingering_closes = 0;
+  std::uint64_t ended_for_memory = 0;  // commands that on_answers_blocked() was called for
   std::array<std::uint64_t, permits::kCloseReasons.size()> closed = {};  // by CloseReason
   // Violations, which must remain 0: connections closed with an unanswered request while the client was still
   // connected, and answers to a request that already had one.
@@ -67,16 +74,26 @@
 // Accepts client connections and owns their sessions. Runs on one thread.
 class ClientSessions {
  public:
-  // Listens at `endpoint`. Of all sessions together, `max_connections` limits the number and
-  // `max_queued_bytes` the commands that wait behind others.
-  ClientSessions(asio::io_context& io, const asio::ip::tcp::endpoint& endpoint, std::size_t max_connections,
-                 std::size_t max_queued_bytes, CommandHandler& handler);
+  // Limits of all sessions together.
+  struct Limits {
+    std::size_t connections = 0;
+    std::size_t queued_bytes = 0;  // of commands that wait behind others
+    std::size_t answer_bytes = 0;  // of answers that wait behind others or that sockets have not accepted
+  };
+  // Listens at `endpoint`.
+  ClientSessions(asio::io_context& io, const asio::ip::tcp::endpoint& endpoint, Limits limits,
+                 CommandHandler& handler);
   ~ClientSessions();
 
   std::uint16_t port() const { return listener_.port(); }
   // Sends a complete RESP reply once all earlier commands of the connection are answered. Does nothing if
   // the client has disconnected.
   void answer(const CommandId& id, std::string_view bytes);
+  // Makes room for an answer of `bytes` bytes to this command. While the answers of all sessions exceed their
+  // limit, has the unanswered command ended that blocks the most bytes. Returns false if the answer still
+  // can't be kept, because clients don't read theirs; a short answer can always be. Not to be called within a
+  // call of CommandHandler, except on_answers_blocked().
+  bool make_room(const CommandId& id, std::size_t bytes);
   // Whether the client has closed or half-closed its connection, according to its socket at this moment.
   bool has_client_closed(const CommandId& id) const;
   // Sets the last time at which all ready events had been handled. Input that is read long after it is taken
@@ -106,10 +123,10 @@
   bool evict_idle_session();
   void close_session(int index, CloseReason reason);
   Session* find(const CommandId& id) const;
+  std::shared_ptr<Session> most_blocked_session() const;
 
   asio::io_context& io_;
-  const std::size_t max_connections_;
-  const std::size_t max_queued_bytes_;
+  const Limits limits_;
   CommandHandler& handler_;
   Slab<std::shared_ptr<Session>> sessions_;
   IndexSet active_;
@@ -129,6 +146,7 @@
   };
   std::deque<WaitingConnection> waiting_connections_;
   std::size_t queued_bytes_ = 0;
+  std::size_t answer_bytes_ = 0;
   std::uint64_t last_connection_id_ = 0;
   Micros caught_up_at_ = 0;
   Counts counts_;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -32,11 +32,13 @@
 // Descriptors kept for the event loop, the log, the listener and the discovery client.
 constexpr std::size_t kReservedDescriptors = 24;
 // Parts of the memory limit, as divisors: one value from a node, all incomplete values from nodes, the
-// commands of active requests, and the commands that wait behind others in their sessions.
+// commands of active requests, the commands that wait behind others in their sessions, and the answers that
+// wait for their turn or for their client to read.
 constexpr std::size_t kValueMemoryDivisor = 16;
 constexpr std::size_t kIncompleteValuesMemoryDivisor = 4;
 constexpr std::size_t kActiveMemoryDivisor = 6;
 constexpr std::size_t kQueuedMemoryDivisor = 12;
+constexpr std::size_t kAnswerMemoryDivisor = 6;
 constexpr double kMaxLimit = 1e9;  // descriptors or megabytes; more than any machine has
 constexpr std::size_t kHexDigits = 16;
 // No attempt may begin for a client that closed its connection longer ago than this; operators allow 0.1 s.
@@ -120,8 +122,11 @@
 Relay::Relay(asio::io_context& io, Deployment deployment)
     : io_(io),
       deployment_(std::move(deployment)),
-      sessions_(io, deployment_.listen, connection_limit(deployment_.max_descriptors),
-                deployment_.memory_bytes / kQueuedMemoryDivisor, *this),
+      sessions_(
+          io, deployment_.listen,
+          {connection_limit(deployment_.max_descriptors), deployment_.memory_bytes / kQueuedMemoryDivisor,
+           deployment_.memory_bytes / kAnswerMemoryDivisor},
+          *this),
       nodes_(io,
              {deployment_.platform.streams_per_connection, connection_limit(deployment_.max_descriptors),
               deployment_.platform.connect_timeout, deployment_.platform.idle_timeout,
@@ -208,6 +213,8 @@
           {"left", counts_.abandoned},
           {"bad", counts_.malformed},
           {"full", counts_.over_memory},
+          {"values_dropped", counts_.values_over_memory},
+          {"ended_for_memory", session_counts.ended_for_memory},
           {"submits", counts_.submits},
           {"further", counts_.later_submits},
           {"in_hand", footprint.active},
@@ -565,14 +572,36 @@
     if (half_closed && requests_[index].in_flight == 0) abort_request(index);
     return;
   }
-  ++counts_.completed;
-  record_final(index, "ended", "");
-  answer_.clear();
-  resp::append_bulk_string(answer_, ended.value);
-  sessions_.answer(requests_[index].command_id, answer_);
+  complete(index, ended.value);
+}
+
+// Answers a request with its value, or as failed if there is no memory for the value.
+void Relay::complete(int index, std::string_view value) {
+  const client_sessions::CommandId command_id = requests_[index].command_id;
+  if (sessions_.make_room(command_id, value.size())) {
+    ++counts_.completed;
+    record_final(index, "ended", "");
+    answer_.clear();
+    resp::append_bulk_string(answer_, value);
+    sessions_.answer(command_id, answer_);
+  } else {
+    ++counts_.failed;
+    ++counts_.values_over_memory;
+    record_final(index, "failed", "no memory for its value");
+    sessions_.answer_error(command_id, "failed");
+  }
   release_request(index);
 }
 
+void Relay::on_answers_blocked(const client_sessions::CommandId& command_id) {
+  const int index = find(command_id);
+  if (index < 0) return;
+  const std::uint64_t id = requests_[index].id;
+  scheduler_->end_early(id);  // calls shed() or fail(), except for a request that is over for the scheduler
+  if (by_id_.find(id) == index) return abort_request(index);
+  nodes_.withdraw_unsent(id);
+}
+
 // Logs the end of a request, before it is answered, and checks that the answer is in time.
 void Relay::record_final(int index, const char* how, std::string_view why) {
   const Request& request = requests_[index];
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -48,12 +48,13 @@
   std::uint64_t completed = 0;
   std::uint64_t shed = 0;
   std::uint64_t failed = 0;
-  std::uint64_t abandoned = 0;      // the client disconnected or half-closed
-  std::uint64_t malformed = 0;      // commands answered with an error
-  std::uint64_t over_memory = 0;    // commands rejected because of the memory limit
-  std::uint64_t submits = 0;        // all attempts
-  std::uint64_t later_submits = 0;  // attempts after the first of a request
-  std::uint64_t pauses = 0;         // gaps between loop iterations above kPauseThresholdUs
+  std::uint64_t abandoned = 0;           // the client disconnected or half-closed
+  std::uint64_t malformed = 0;           // commands answered with an error
+  std::uint64_t over_memory = 0;         // commands rejected because of the memory limit
+  std::uint64_t values_over_memory = 0;  // values dropped because of it; their commands count as failed
+  std::uint64_t submits = 0;             // all attempts
+  std::uint64_t later_submits = 0;       // attempts after the first of a request
+  std::uint64_t pauses = 0;              // gaps between loop iterations above kPauseThresholdUs
   Micros longest_iteration = 0;
   // Requests that the scheduler shed or failed, by RejectionReason.
   std::array<std::uint64_t, kRejectionReasonNames.size()> rejections = {};
@@ -106,6 +107,7 @@
                   Micros arrived_at) override;
   void on_disconnect(const client_sessions::CommandId& command_id) override;
   void on_half_close(const client_sessions::CommandId& command_id) override;
+  void on_answers_blocked(const client_sessions::CommandId& command_id) override;
   // node_connections::SubmitHandler
   DenialReason may_begin(std::uint64_t id, int no) override;
   void on_submit_ended(const node_connections::EndedSubmit& ended) override;
@@ -126,6 +128,7 @@
   const char* parse_command(const resp::Command& command, BlockIo& bio, Request& request, Micros arrived_at);
   int find(const client_sessions::CommandId& command_id) const;
   void abort_request(int index);
+  void complete(int index, std::string_view value);
   void run_iteration();
   void run_every_second(Micros now);
   void release_request(int index);
--- a/src/rules/rules.cpp
+++ b/src/rules/rules.cpp
@@ -1089,6 +1089,12 @@
   if (at >= 0 && !scheduler_->bios_[at].is_over) scheduler_->finish(scheduler_->bios_[at], false);
 }
 
+void Head::end_early(std::uint64_t id) {
+  const int at = scheduler_->index_.find(id);
+  if (at >= 0 && !scheduler_->bios_[at].is_over)
+    scheduler_->reject(scheduler_->bios_[at], RejectionReason::blocks_others);
+}
+
 void Head::on_probe_result(int node, Result result, Micros, const LoadReport&) {
   if (node >= static_cast<int>(scheduler_->nodes_.size())) return;
   Scheduler::Node& n = scheduler_->nodes_[node];
--- a/src/rules/rules.h
+++ b/src/rules/rules.h
@@ -51,14 +51,15 @@
 
 // Why a block I/O is shed or failed.
 enum class RejectionReason : std::uint8_t {
-  goal_passed,  // its latency goal has passed while it was queued
-  priced_out,   // its gain is below the shedding price of its node
-  crowded_out,  // it had the least gain of the requests queued for an overloaded node
-  time_over,    // the client's deadline has passed
-  no_further    // its submits failed and it may not be retried
+  goal_passed,   // its latency goal has passed while it was queued
+  priced_out,    // its gain is below the shedding price of its node
+  crowded_out,   // it had the least gain of the requests queued for an overloaded node
+  time_over,     // the client's deadline has passed
+  no_further,    // its submits failed and it may not be retried
+  blocks_others  // the answers of later requests wait for it and need too much memory
 };
-inline constexpr std::array<std::string_view, 5> kRejectionReasonNames = {
-    "goal_passed", "priced_out", "crowded_out", "time_over", "no_further"};
+inline constexpr std::array<std::string_view, 6> kRejectionReasonNames = {
+    "goal_passed", "priced_out", "crowded_out", "time_over", "no_further", "blocks_others"};
 
 inline constexpr std::array<std::string_view, 3> kNodeStateNames = {"gone", "ready", "draining"};
 inline constexpr std::array<std::string_view, 8> kResultNames = {
@@ -211,6 +212,9 @@
   void on_submit_result(const SubmitOutcome& outcome);
   void on_probe_result(int node, Result result, Micros lag, const LoadReport& report);
   void on_client_disconnected(std::uint64_t id);
+  // Sheds or fails a block I/O before its time because the answers of later ones wait for its own and the
+  // caller has no more memory for them. Not to be called within a call of HeadEnvironment.
+  void end_early(std::uint64_t id);
   void on_timer(std::uint64_t token);
   // Whether a small index may be reused for another name: a node that has left the list and has no submit of
   // an active block I/O, a volume that has long been unused. If so, its state is cleared.
--- a/tests/relay/memory_test.cpp
+++ b/tests/relay/memory_test.cpp
@@ -1,5 +1,6 @@
 // Memory of yewmountd in relay mode: peers that hang, do not read or send long messages must not take a head
 // above the limit at which the platform kills it, nor may memory stay in use once it is no longer needed.
+#include <algorithm>
 #include <fstream>
 #include <map>
 
@@ -15,6 +16,18 @@
   std::FILE* log = std::tmpfile();
   std::size_t largest_resident_bytes = 0;
 
+  // Runs the event loop and keeps the largest memory that the head has had.
+  void watch_memory_for(int ms) {
+    for (const auto from = Clock::now(); ms_since(from) < ms;) {
+      platform.run_for(5);
+      largest_resident_bytes = std::max(largest_resident_bytes, resident_bytes());
+    }
+  }
+  std::size_t value_count() const {
+    return static_cast<std::size_t>(std::ranges::count_if(platform.record.requests, [](const auto& entry) {
+      return !entry.second.answers.empty() && entry.second.answers[0].starts_with("$");
+    }));
+  }
   void SetUp() override {
     platform.padding.assign(kValueBytes, 'z');
     platform.arguments = {"--log-level", "debug"};
@@ -73,5 +86,57 @@
   EXPECT_EQ(reported("client_output_pending"), 0);
 }
 
+constexpr int kGroup = 32;  // commands that a client sends at once
+
+// Guards against answers that wait without a bound behind an unanswered command of their connection: one
+// node that hangs took a head above its memory limit within two seconds, and all its requests were lost.
+TEST_F(MemoryTest, AnswersBehindAHangingNodeStayWithinTheLimitAndReachTheirClients) {
+  platform.config["limits"]["memory_mb"] = 32;
+  platform.config["settings"]["classes"][0]["objective-s"] = 2.0;
+  platform.config["settings"]["classes"][0]["deadline-s"] = 4.0;
+  platform.on_command = [&](int node, Conn& c, const Words& words) {
+    if (node != 0) platform.send_value(c, words);
+  };
+  platform.start();
+  std::vector<std::shared_ptr<Platform::Client>> clients;
+  for (int i = 0; i < 30; ++i) {
+    clients.push_back(platform.client());
+    for (int j = 0; j < kGroup; ++j)
+      platform.send_request(*clients.back(), false, j == 0 ? 0 : 1 + j % 2, 4000);
+    watch_memory_for(40);
+  }
+  for (int i = 0; i < 50 && !platform.all_answered(); ++i) watch_memory_for(100);
+  EXPECT_TRUE(platform.all_answered());
+  EXPECT_LT(largest_resident_bytes, 32u << 20);
+  EXPECT_EQ(value_count(), 30u * (kGroup - 1));  // all but those for the node that hangs
+}
+
+// Guards against output that grows without a bound where many clients do not read: their answers are dropped
+// before the head exceeds its limit, and a client that reads is still served.
+TEST_F(MemoryTest, AnswersForClientsThatDoNotReadStayWithinTheLimit) {
+  platform.config["limits"]["memory_mb"] = 32;
+  platform.start();
+  std::vector<std::shared_ptr<Platform::Client>> clients;
+  for (int i = 0; i < 24; ++i) {
+    clients.push_back(platform.client(false));
+    clients.back()->conn->socket.set_option(asio::socket_base::receive_buffer_size(64 << 10));
+  }
+  for (int round = 0; round < 4; ++round) {
+    for (auto& client : clients)
+      for (int j = 0; j < kGroup; ++j) platform.send_request(*client, false, j % 3, 4000);
+    watch_memory_for(400);
+  }
+  EXPECT_LT(largest_resident_bytes, 32u << 20);
+  auto reader = platform.client();
+  const std::string id = platform.send_request(*reader, false, 1, 4000);
+  ASSERT_TRUE(platform.until([&] { return !platform.record.requests[id].answers.empty(); }, 4000));
+  EXPECT_EQ(platform.answer(id), "$value-" + id);
+  for (auto& client : clients) client->conn->read();
+  for (int i = 0; i < 50 && !platform.all_answered(); ++i) watch_memory_for(100);
+  EXPECT_LT(largest_resident_bytes, 32u << 20);
+  for (auto& [request_id, request] : platform.record.requests)
+    request.timeout_ms += 4000;  // the wait for a client that does not read is its own
+}
+
 }  // namespace
 }  // namespace yewmount::tests
