--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -28,7 +28,7 @@
 # A head with a planted fault: it reports requests that may have run as never run. The checks must detect it.
 # Never installed.
 add_executable(yewmountd-planted EXCLUDE_FROM_ALL src/head/main.cpp src/head/daemon.cpp src/head/scrubbing.cpp
-               src/relay/relay.cpp)
+               src/relay/relay.cpp src/relay/deployment.cpp src/relay/report.cpp)
 target_compile_definitions(yewmountd-planted PRIVATE YEWMOUNT_PLANTED_FAULT)
 target_link_libraries(yewmountd-planted PRIVATE yewmount_node_transport yewmount_node_list yewmount_catalogue
                       yewmount_http_server yewmount_settings yewmount_plans yewmount_checksums
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -5,14 +5,10 @@
 
 #include "base/base.h"
 #include "base/buffer.h"
-#include "settings/json_schema.h"
 
 namespace yewmount::relay {
 namespace {
 
-using nlohmann::json;
-using provision::BadInput;
-
 constexpr Micros kSecondUs = 1'000'000;
 // Iterations of the loop further apart than this count as a pause of the process, for operators only; the
 // scheduler detects pauses itself. Also the longest wait of one iteration.
@@ -29,8 +25,6 @@
 constexpr long kMaxWaitMs = 600'000;              // longest wait that a client may ask for
 constexpr int kMaxHeads = 4096;
 constexpr int kMaxShard = 1 << 16;
-// Descriptors kept for the event loop, the log, the listener and the discovery client.
-constexpr std::size_t kReservedDescriptors = 24;
 // Parts of the memory limit, as divisors: one value from a node, all incomplete values from nodes, the
 // commands of active requests, the commands that wait behind others in their sessions, and the answers that
 // wait for their turn or for their client to read.
@@ -39,22 +33,11 @@
 constexpr std::size_t kActiveMemoryDivisor = 6;
 constexpr std::size_t kQueuedMemoryDivisor = 12;
 constexpr std::size_t kAnswerMemoryDivisor = 6;
-constexpr double kMaxLimit = 1e9;  // descriptors or megabytes; more than any machine has
 constexpr std::size_t kHexDigits = 16;
 // No attempt may begin for a client that closed its connection longer ago than this; operators allow 0.1 s.
 constexpr Micros kMaxDisconnectDelayUs = 50'000;
 constexpr Micros kAnswerSlackUs = 50'000;  // that the protocol allows on every time limit
 
-// Returns the counts above 0 under their names.
-template <std::size_t N>
-nlohmann::ordered_json nonzero_counts(const std::array<std::string_view, N>& names,
-                                      const std::array<std::uint64_t, N>& counts) {
-  nlohmann::ordered_json result = nlohmann::ordered_json::object();
-  for (std::size_t i = 0; i < N; ++i)
-    if (counts[i] > 0) result[std::string(names[i])] = counts[i];
-  return result;
-}
-
 std::string to_hex(std::uint64_t value) {
   char text[kHexDigits + 1];
   std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(value));
@@ -72,53 +55,14 @@
   return error == std::errc() && end == text.data() + text.size() && value >= min && value <= max;
 }
 
-std::uint64_t parse_seed(const std::string& text) {
-  std::uint64_t seed = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
-  if (error != std::errc() || end != text.data() + text.size())
-    throw BadInput("field 'seed' is not hex digits");
-  return seed;
-}
-
 // The limit on connections to nodes, and the equal limit on connections of clients. The two don't compete, so
 // that submits never wait for a descriptor that a client holds.
 std::size_t connection_limit(std::size_t max_descriptors) {
   return (max_descriptors - kReservedDescriptors) / 2;
 }
 
-// Returns a field of the platform's limits; throws BadInput if it is below `min` or too large.
-std::size_t read_limit(const json& limits, const char* name, std::size_t min) {
-  const double value = provision::get<double>(limits, name);
-  if (value >= static_cast<double>(min) && value <= kMaxLimit) return static_cast<std::size_t>(value);
-  throw BadInput(std::string("field '") + name + "' is below " + std::to_string(min) + " or too large");
-}
-
 }  // namespace
 
-Deployment load_deployment(const std::string& file) {
-  std::string text;
-  if (const std::string why = read_file(file, text); !why.empty()) throw std::runtime_error(why);
-  const json config = settings::parse(text, file);
-  try {
-    if (!config.is_object()) throw BadInput("not an object");
-    Deployment deployment;
-    deployment.name = provision::get<std::string>(config, "name");
-    deployment.listen = discovery::parse_endpoint(provision::get<std::string>(config, "listen"));
-    deployment.discovery = discovery::parse_endpoint(provision::get<std::string>(config, "discovery"));
-    const json& limits = provision::require_typed(config, "limits", json::value_t::object);
-    deployment.max_descriptors = read_limit(limits, "sockets", 2 * kReservedDescriptors);
-    deployment.memory_bytes = read_limit(limits, "memory_mb", 1) << 20;
-    deployment.known_nodes = provision::require_typed(config, "known", json::value_t::object);
-    deployment.platform =
-        provision::read_platform_settings(provision::require_typed(config, "settings", json::value_t::object),
-                                          parse_seed(provision::get<std::string>(config, "seed")));
-    deployment.platform.head.may_probe = false;  // the protocol has no probe, whatever the settings allow
-    return deployment;
-  } catch (const std::exception& e) {
-    throw std::runtime_error(file + ": " + e.what());
-  }
-}
-
 Relay::Relay(asio::io_context& io, Deployment deployment)
     : io_(io),
       deployment_(std::move(deployment)),
@@ -202,72 +146,6 @@
   logs::info("figures", report());
 }
 
-nlohmann::ordered_json Relay::report() const {
-  const client_sessions::Counts& session_counts = sessions_.counts();
-  const node_connections::Counts& node_counts = nodes_.counts();
-  const Head::Footprint footprint = scheduler_->footprint();
-  return {{"taken", counts_.accepted},
-          {"ended", counts_.completed},
-          {"shed", counts_.shed},
-          {"failed", counts_.failed},
-          {"left", counts_.abandoned},
-          {"bad", counts_.malformed},
-          {"full", counts_.over_memory},
-          {"values_dropped", counts_.values_over_memory},
-          {"ended_for_memory", session_counts.ended_for_memory},
-          {"submits", counts_.submits},
-          {"further", counts_.later_submits},
-          {"in_hand", footprint.active},
-          {"held", footprint.queued},
-          {"calm", footprint.headroom},
-          {"clients", sessions_.size()},
-          {"unread", session_counts.unreadable},
-          {"turned_back", session_counts.rejected_connections},
-          {"parted", session_counts.half_closed},
-          {"lingered", session_counts.lingering_closes},
-          {"connections", nodes_.connection_count()},
-          {"opened", node_counts.opened},
-          {"lost", node_counts.connections_lost},
-          {"spoilt", node_counts.malformed_replies},
-          {"strays", node_counts.unexpected_replies},
-          {"doubled_up", node_counts.pipelined},
-          {"no_room", node_counts.no_connection_free},
-          {"outcomes", nonzero_counts(kResultNames, counts_.results)},
-          {"given_up", nonzero_counts(kRejectionReasonNames, counts_.rejections)},
-          {"denied", nonzero_counts(kDenialReasonNames, node_counts.denied)},
-          {"clients_closed", nonzero_counts(permits::kCloseReasons, session_counts.closed)},
-          {"nodes_closed", nonzero_counts(node_connections::kCloseReasonNames, node_counts.closed)},
-          {"violations",
-           {{"late_answers", counts_.violations.late_answers},
-            {"unasked_values", counts_.violations.unexpected_results},
-            {"closed_unanswered", session_counts.closed_unanswered},
-            {"answered_again", session_counts.duplicate_answers}}},
-          {"memory", memory_report()},
-          {"list", members_.version()},
-          {"nodes", members_.node_count()},
-          {"volumes", volumes_.size()},
-          {"list_failures", members_.failures()},
-          {"stood_still", counts_.pauses},
-          {"longest_turn_us", counts_.longest_iteration}};
-}
-
-nlohmann::ordered_json Relay::memory_report() const {
-  const ProcessMemory process = process_memory();
-  const client_sessions::BufferedBytes clients = sessions_.buffered_bytes();
-  const node_connections::BufferedBytes nodes = nodes_.buffered_bytes();
-  return {{"resident", process.resident},
-          {"heap_used", process.heap_used},
-          {"heap_free", process.heap_free},
-          {"active_commands", command_bytes_},
-          {"client_input", clients.input},
-          {"waiting_answers", clients.waiting_answers},
-          {"client_output_pending", clients.pending_output},
-          {"client_output_capacity", clients.output_capacity},
-          {"node_commands", nodes.waiting_commands},
-          {"node_output_capacity", nodes.output_capacity},
-          {"incomplete_replies", nodes.incomplete_replies}};
-}
-
 void Relay::drain() {
   if (drain_deadline_ > 0) return;
   Micros longest = 0;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -15,27 +15,12 @@
 #include "discovery/discovery_client.h"
 #include "event_loop/event_loop.h"
 #include "node_connections/node_connections.h"
-#include "provision/provision.h"
+#include "relay/deployment.h"
 #include "rules/containers.h"
 #include "rules/rules.h"
 
 namespace yewmount::relay {
 
-// The configuration that the platform passes to a head at its start.
-struct Deployment {
-  std::string name;
-  asio::ip::tcp::endpoint listen;
-  asio::ip::tcp::endpoint discovery;  // of the service that lists the nodes
-  std::size_t max_descriptors = 0;
-  std::size_t memory_bytes = 0;
-  nlohmann::json known_nodes;  // the node list as of the start
-  provision::PlatformSettings platform;
-};
-
-// Reads a configuration file. Throws provision::BadInput or std::runtime_error; the message is one line with
-// the place and the reason.
-Deployment load_deployment(const std::string& file);
-
 // Events that must never happen. Each is counted and logged as an error.
 struct Violations {
   std::uint64_t late_answers = 0;        // after the client's deadline and the slack on it
