Let clients that do not read pay first when memory for answers is short

While some clients left their answers unread, the commands of a client that read were ended or failed: its pipeline of 32 got 21 of 32 values or fewer.

Cause: make_room() ended the commands that block others before it touched the values that wait for clients which do not read, though only the latter holds the memory. And up to 256 KiB a connection lay in the output buffer, where no answer can be dropped any more.

Change: values for a client that has accepted nothing for half a second are dropped first. Answers move to the output buffer while it holds less than 16 KiB; the limit of 256 KiB after which a connection's commands wait counts what is unread, wherever it lies.

--- a/src/client_sessions/client_sessions.cpp
+++ b/src/client_sessions/client_sessions.cpp
@@ -15,12 +15,16 @@
 // command is cut off.
 constexpr Micros kCommandTimeoutUs = 2 * kSecondUs;
 constexpr Micros kStalledTimeoutUs = 5 * kSecondUs;
+// A client that has accepted no output for this long counts as one that does not read.
+constexpr Micros kUnreadTimeoutUs = kSecondUs / 2;
 constexpr Micros kIdleTimeoutUs = 20 * kSecondUs;
 constexpr Micros kLingerTimeoutUs = kSecondUs / 2;
 // Limits of one connection. At the first two, further commands wait; above the third, reading pauses.
-constexpr std::size_t kMaxOpenCommands = 32;               // commands whose answers have not been sent
-constexpr std::size_t kMaxPendingOutputBytes = 256 << 10;  // bytes that the socket has not accepted
-constexpr std::size_t kMaxQueuedBytes = 256 << 10;         // bytes of waiting commands
+constexpr std::size_t kMaxOpenCommands = 32;        // commands whose answers have not been sent
+constexpr std::size_t kMaxUnreadBytes = 256 << 10;  // of answers that only wait for the client to read
+constexpr std::size_t kMaxQueuedBytes = 256 << 10;  // bytes of waiting commands
+// Answers are moved to the output buffer while it holds less than this. What is there can't be dropped.
+constexpr std::size_t kOutputWindowBytes = 16 << 10;
 // Descriptors beyond the limit on connections. Lingering connections are closed first, and new connections
 // wait shortly for a session.
 constexpr std::size_t kMaxExtraLingering = 6;
@@ -29,6 +33,7 @@
 // Input that is read more than this after the loop was last caught up is taken to have arrived at that time:
 // the process was paused or is overloaded.
 constexpr Micros kMaxReadDelayUs = 20'000;
+constexpr std::string_view kFailedAnswer = "-ERR failed\r\n";
 
 }  // namespace
 
@@ -61,18 +66,16 @@
 
   // Returns false if the command has its answer already.
   bool answer(std::uint64_t sequence, std::string_view bytes) {
-    if (sequence < first_sequence_ || sequence - first_sequence_ >= answers_.size() ||
-        answers_[sequence - first_sequence_].is_known)
-      return false;
+    if (!is_unanswered(sequence)) return false;
     Answer& entry = answers_[sequence - first_sequence_];
     entry.is_known = true;
-    if (sequence == first_sequence_ && pending_bytes() < kMaxPendingOutputBytes) {
+    if (sequence == first_sequence_ && pending_bytes() < kOutputWindowBytes) {
       out() += bytes;  // without a copy in between
     } else {
       entry.bytes = bytes;
       waiting_answer_bytes_ += bytes.size();
     }
-    move_answers_to_output(kMaxPendingOutputBytes);
+    move_answers_to_output(kOutputWindowBytes);
     return true;
   }
 
@@ -84,6 +87,27 @@
   bool can_send_now(std::uint64_t sequence) const {
     return sequence == first_sequence_ && pending_bytes() == 0;
   }
+  // Bytes of answers that wait for a client that does not read.
+  std::size_t unread_bytes(Micros now) const {
+    return pending_bytes() > 0 && now - last_write_progress_at_ > kUnreadTimeoutUs ? waiting_answer_bytes_
+                                                                                   : 0;
+  }
+  // Replaces all values that are not in the output buffer by errors; returns their number.
+  std::uint64_t drop_waiting_values() {
+    std::uint64_t dropped = 0;
+    for (Answer& answer : answers_) {
+      if (answer.bytes.size() <= resp::kMaxLineBytes) continue;
+      waiting_answer_bytes_ -= answer.bytes.size() - kFailedAnswer.size();
+      std::string(kFailedAnswer).swap(answer.bytes);
+      ++dropped;
+    }
+    update_answer_bytes();
+    return dropped;
+  }
+  bool is_unanswered(std::uint64_t sequence) const {
+    return sequence >= first_sequence_ && sequence - first_sequence_ < answers_.size() &&
+           !answers_[sequence - first_sequence_].is_known;
+  }
   CommandId first_unanswered() const { return command_id(first_sequence_); }
 
   // Moves the answers whose turn it is to the output buffer until that holds `max_pending` bytes. Returns
@@ -240,7 +264,7 @@
 
   // Closes the session after its last answer, or lets commands continue that waited for pending output.
   void on_write_progress() override {
-    while (open() && move_answers_to_output(kMaxPendingOutputBytes)) flush();
+    while (open() && move_answers_to_output(kOutputWindowBytes)) flush();
     if (!open()) return;
     if (answers_.empty() && pending_bytes() == 0 && (input_rejected_ || peer_eof_seen_))
       return owner_.close_session(index_, input_rejected_ ? CloseReason::unreadable : CloseReason::ended);
@@ -248,7 +272,9 @@
   }
 
   bool is_at_limit() const {
-    return answers_.size() >= kMaxOpenCommands || pending_bytes() >= kMaxPendingOutputBytes;
+    const bool is_blocked = !answers_.empty() && !answers_.front().is_known;
+    const std::size_t unread_bytes = pending_bytes() + (is_blocked ? 0 : waiting_answer_bytes_);
+    return answers_.size() >= kMaxOpenCommands || unread_bytes >= kMaxUnreadBytes;
   }
 
   void on_read(std::size_t bytes) override {
@@ -430,31 +456,51 @@
   }
 }
 
-// Returns the session with the most bytes behind an unanswered command, or null if there are none.
-std::shared_ptr<ClientSessions::Session> ClientSessions::most_blocked_session() const {
-  std::shared_ptr<Session> most_blocked;
+// Returns the session for which `bytes_of(session)` is the largest, or null if it is 0 for all.
+template <class BytesOf>
+std::shared_ptr<ClientSessions::Session> ClientSessions::largest_session(BytesOf bytes_of) const {
+  std::shared_ptr<Session> largest;
+  std::size_t largest_bytes = 0;
   for (int index : active_) {
-    const std::size_t bytes = sessions_[index]->blocked_bytes();
-    if (bytes > (most_blocked ? most_blocked->blocked_bytes() : 0)) most_blocked = sessions_[index];
+    const std::size_t bytes = bytes_of(*sessions_[index]);
+    if (bytes <= largest_bytes) continue;
+    largest_bytes = bytes;
+    largest = sessions_[index];
   }
-  return most_blocked;
+  return largest;
 }
 
-// Ending one command lets all answers behind it leave, whereas dropping an answer wastes the work of its
-// node.
 bool ClientSessions::make_room(const CommandId& id, std::size_t bytes) {
   if (bytes <= resp::kMaxLineBytes) return true;
-  while (answer_bytes_ + bytes > limits_.answer_bytes) {
-    const std::shared_ptr<Session> session = most_blocked_session();
-    if (!session) break;
-    const CommandId blocking = session->first_unanswered();
-    if (blocking.connection_id == id.connection_id && blocking.sequence == id.sequence) break;
-    ++counts_.ended_for_memory;
-    handler_.on_answers_blocked(blocking);
-    session->flush_output();
+  const auto is_full = [&] { return answer_bytes_ + bytes > limits_.answer_bytes; };
+  while (is_full() && (drop_unread_values() || end_blocking_command(id))) {
   }
   const Session* const session = find(id);
-  return !session || answer_bytes_ + bytes <= limits_.answer_bytes || session->can_send_now(id.sequence);
+  return !session || !is_full() || session->can_send_now(id.sequence);
+}
+
+// Drops the values that wait for the client that leaves the most unread; returns false if there are none. So
+// clients that do not read cost the others nothing.
+bool ClientSessions::drop_unread_values() {
+  const Micros now = monotonic_now();
+  const auto session = largest_session([&](const Session& s) { return s.unread_bytes(now); });
+  const std::uint64_t dropped = session ? session->drop_waiting_values() : 0;
+  counts_.dropped_values += dropped;
+  return dropped > 0;
+}
+
+// Has the unanswered command other than `id` ended that blocks the most bytes; returns false if there is
+// none. All answers behind it can leave then, whereas dropping an answer wastes the work of its node.
+bool ClientSessions::end_blocking_command(const CommandId& id) {
+  const auto session = largest_session([](const Session& s) { return s.blocked_bytes(); });
+  if (!session) return false;
+  const CommandId blocking = session->first_unanswered();
+  if (blocking.connection_id == id.connection_id && blocking.sequence == id.sequence) return false;
+  ++counts_.ended_for_memory;
+  handler_.on_answers_blocked(blocking);
+  if (session->is_unanswered(blocking.sequence)) return false;
+  session->flush_output();
+  return true;
 }
 
 bool ClientSessions::has_client_closed(const CommandId& id) const {
--- a/src/client_sessions/client_sessions.h
+++ b/src/client_sessions/client_sessions.h
@@ -56,6 +56,7 @@
   std::uint64_t half_closed = 0;           // clients that ended their sending side
   std::uint64_t lingering_closes = 0;
   std::uint64_t ended_for_memory = 0;  // commands that on_answers_blocked() was called for
+  std::uint64_t dropped_values = 0;    // values replaced by errors because their clients do not read
   std::array<std::uint64_t, permits::kCloseReasons.size()> closed = {};  // by CloseReason
   // Violations, which must remain 0: connections closed with an unanswered request while the client was still
   // connected, and answers to a request that already had one.
@@ -90,9 +91,9 @@
   // the client has disconnected.
   void answer(const CommandId& id, std::string_view bytes);
   // Makes room for an answer of `bytes` bytes to this command. While the answers of all sessions exceed their
-  // limit, has the unanswered command ended that blocks the most bytes. Returns false if the answer still
-  // can't be kept, because clients don't read theirs; a short answer can always be. Not to be called within a
-  // call of CommandHandler, except on_answers_blocked().
+  // limit, values for clients that do not read are replaced by errors, then the unanswered command is ended
+  // that blocks the most bytes. Returns false if the answer still can't be kept; a short one always can.
+  // Not to be called within a call of CommandHandler.
   bool make_room(const CommandId& id, std::size_t bytes);
   // Whether the client has closed or half-closed its connection, according to its socket at this moment.
   bool has_client_closed(const CommandId& id) const;
@@ -123,7 +124,10 @@
   bool evict_idle_session();
   void close_session(int index, CloseReason reason);
   Session* find(const CommandId& id) const;
-  std::shared_ptr<Session> most_blocked_session() const;
+  template <class BytesOf>
+  std::shared_ptr<Session> largest_session(BytesOf bytes_of) const;
+  bool drop_unread_values();
+  bool end_blocking_command(const CommandId& id);
 
   asio::io_context& io_;
   const Limits limits_;
--- a/src/relay/report.cpp
+++ b/src/relay/report.cpp
@@ -29,7 +29,7 @@
           {"left", counts_.abandoned},
           {"bad", counts_.malformed},
           {"full", counts_.over_memory},
-          {"values_dropped", counts_.values_over_memory},
+          {"values_dropped", counts_.values_over_memory + session_counts.dropped_values},
           {"ended_for_memory", session_counts.ended_for_memory},
           {"submits", counts_.submits},
           {"further", counts_.later_submits},
--- a/tests/relay/memory_test.cpp
+++ b/tests/relay/memory_test.cpp
@@ -112,9 +112,15 @@
 }
 
 // Guards against output that grows without a bound where many clients do not read: their answers are dropped
-// before the head exceeds its limit, and a client that reads is still served.
+// before the head exceeds its limit, and a client that reads gets all values of its pipeline.
 TEST_F(MemoryTest, AnswersForClientsThatDoNotReadStayWithinTheLimit) {
   platform.config["limits"]["memory_mb"] = 32;
+  platform.on_command = [&](int node, Conn& c, const Words& words) {
+    if (node == 0)
+      send_value_in_pieces(c, words, 30);
+    else
+      platform.send_value(c, words);
+  };
   platform.start();
   std::vector<std::shared_ptr<Platform::Client>> clients;
   for (int i = 0; i < 24; ++i) {
@@ -127,10 +133,12 @@
     watch_memory_for(400);
   }
   EXPECT_LT(largest_resident_bytes, 32u << 20);
+  watch_memory_for(800);  // longer than the half second after which a client counts as one that does not read
   auto reader = platform.client();
-  const std::string id = platform.send_request(*reader, false, 1, 4000);
-  ASSERT_TRUE(platform.until([&] { return !platform.record.requests[id].answers.empty(); }, 4000));
-  EXPECT_EQ(platform.answer(id), "$value-" + id);
+  std::vector<std::string> ids;
+  for (int j = 0; j < kGroup; ++j) ids.push_back(platform.send_request(*reader, false, j % 3, 4000));
+  ASSERT_TRUE(platform.until([&] { return reader->pending.empty(); }, 4000));
+  for (const std::string& id : ids) EXPECT_EQ(platform.answer(id), "$value-" + id);
   for (auto& client : clients) client->conn->read();
   for (int i = 0; i < 50 && !platform.all_answered(); ++i) watch_memory_for(100);
   EXPECT_LT(largest_resident_bytes, 32u << 20);
