Make room at another connection if the own command blocks the most

Cause: end_blocking_command() looked up the session that blocks the most bytes and gave up if its command was the one whose value asked for room. The value was then dropped, although the command of another connection could be ended, as the interface and the design note say. It takes a slow reader whose command also holds up the most bytes; no run showed it, it was found by reading.

Change: the search passes over that session. Tests of ClientSessions in one process.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -51,6 +51,9 @@
 target_link_libraries(syscall_faults PRIVATE ${CMAKE_DL_LIBS})
 
 yewmount_test(resp SOURCES tests/resp/resp_test.cpp USES yewmount_resp)
+yewmount_test(client_sessions SOURCES tests/client_sessions/client_sessions_test.cpp
+              USES yewmount_client_sessions yewmount_rules)
+target_compile_definitions(client_sessions_tests PRIVATE YEWMOUNTD="$<TARGET_FILE:yewmountd>")
 yewmount_test(relay SOURCES tests/relay/relay_test.cpp tests/relay/node_connections_test.cpp
               tests/relay/connection_reuse_test.cpp tests/relay/memory_test.cpp
               USES yewmount_node_connections nlohmann_json::nlohmann_json PROPERTIES PROCESSORS 2 TIMEOUT 60)
--- a/src/client_sessions/client_sessions.cpp
+++ b/src/client_sessions/client_sessions.cpp
@@ -492,10 +492,12 @@
 // Has the unanswered command other than `id` ended that blocks the most bytes; returns false if there is
 // none. All answers behind it can leave then, whereas dropping an answer wastes the work of its node.
 bool ClientSessions::end_blocking_command(const CommandId& id) {
-  const auto session = largest_session([](const Session& s) { return s.blocked_bytes(); });
+  const auto session = largest_session([&](const Session& s) {
+    const bool is_own = s.connection_id() == id.connection_id && s.first_unanswered().sequence == id.sequence;
+    return is_own ? 0 : s.blocked_bytes();
+  });
   if (!session) return false;
   const CommandId blocking = session->first_unanswered();
-  if (blocking.connection_id == id.connection_id && blocking.sequence == id.sequence) return false;
   ++counts_.ended_for_memory;
   handler_.on_answers_blocked(blocking);
   if (session->is_unanswered(blocking.sequence)) return false;
