--- a/review/common-2/kit.h
+++ b/review/common-2/kit.h
@@ -122,6 +122,7 @@
 struct Conn : std::enable_shared_from_this<Conn> {
   int fd = -1;
   bool connecting = false;
+  bool cut = false;  // nothing is read
   std::string in;
   std::string out;
   std::function<void(Conn&)> on_bytes;
@@ -139,6 +140,10 @@
   }
   void watch() {
     auto self = shared_from_this();
+    if (cut) {
+      handlers.erase(fd);
+      return;
+    }
     handlers[fd] = {static_cast<short>(connecting || !out.empty() ? POLLIN | POLLOUT : POLLIN),
                     [self](short events) { self->ready(events); }};
   }
@@ -223,10 +228,14 @@
   int fd = -1;
   Address address;
   std::function<void(ConnPtr)> on_accept;
+  int receive_buffer = 0;  // 0: as it is
+  int segment = 0;         // bytes of a TCP segment; 0: as it is
   void open(std::uint32_t ip, int backlog = 512, std::uint16_t port = 0) {
     fd = new_socket();
     int one = 1;
     ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+    if (receive_buffer > 0) ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
+    if (segment > 0) ::setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
     Address wanted{ip, port};
     sockaddr_in a = wanted.to_sockaddr();
     socklen_t size = sizeof a;
@@ -355,6 +364,21 @@
     std::map<std::uint64_t, std::string> known;
   };
   std::map<Conn*, Order> orders;
+  std::map<Conn*, std::string> arrived;
+  void write(const ConnPtr& conn, const std::string& bytes) {
+    if (one_way == 0) return conn->send(bytes);
+    after(one_way, [conn, bytes] { conn->send(bytes); });
+  }
+  // Sends a second copy unless something else has come on the connection meanwhile.
+  void copy(const Job& job, const std::string& bytes) {
+    const Micros delay = copy_after();
+    if (delay == 0) return;
+    after(delay, [this, job, bytes] {
+      if (!job.conn->open() || orders[job.conn.get()].next != job.turn + 1) return;
+      record("shelf %s: sends the answer to %s again", id.c_str(), job.words[2].c_str());
+      write(job.conn, bytes);
+    });
+  }
   // Gives a command its answer; an empty one means that it gets none.
   void give(const Job& job, const std::string& bytes) {
     if (!job.conn->open()) return;
@@ -362,7 +386,7 @@
     order.known[job.turn] = bytes;
     for (auto it = order.known.begin(); it != order.known.end() && it->first == order.first;
          it = order.known.erase(it), ++order.first)
-      job.conn->send(std::string(it->second));
+      if (!it->second.empty()) write(job.conn, it->second);
   }
   // Whether a command is dropped without a word as its turn comes.
   std::function<bool(const Job&)> drops = [](const Job&) { return false; };
@@ -379,6 +403,9 @@
   std::size_t queue_limit = 100;
   std::uint64_t epoch = 0;
   Micros hangs_until = 0;
+  Micros one_way = 0;  // of the network between a head and this shelf
+  // How long after an answer a second copy of it comes, if nothing else waits on the connection; 0: none comes.
+  std::function<Micros()> copy_after = [] { return Micros{0}; };
   std::function<Micros(const Job&)> service_time = [](const Job&) { return 36 * kMs; };
   std::function<void(Shelf&, const Job&)> on_command;  // a command has come whole
 
@@ -390,8 +417,21 @@
   }
   void take(ConnPtr conn) {
     conns.push_back(conn);
-    conn->on_bytes = [this](Conn& c) { read(c); };
+    conn->on_bytes = [this](Conn& c) {
+      if (one_way == 0) return read(c);
+      const auto self = c.shared_from_this();
+      auto bytes = std::make_shared<std::string>(std::move(c.in));
+      c.in.clear();
+      after(one_way, [this, self, bytes] {
+        arrived[self.get()] += *bytes;
+        if (!self->open()) return;
+        std::swap(self->in, arrived[self.get()]);
+        read(*self);
+        std::swap(self->in, arrived[self.get()]);
+      });
+    };
     conn->on_close = [this](Conn& c) {
+      arrived.erase(&c);
       orders.erase(&c);
       std::erase_if(conns, [&](const ConnPtr& p) { return p.get() == &c; });
     };
@@ -442,7 +482,9 @@
         return serve();
       }
       const std::string report = "inflight=" + std::to_string(running + queue.size()) + ",latency_ms=36";
-      give(job, "*3\r\n" + bulk("value-" + job.words[2]) + bulk("used=50,cost=0") + bulk(report));
+      const std::string bytes = "*3\r\n" + bulk("value-" + job.words[2]) + bulk("used=50,cost=0") + bulk(report);
+      give(job, bytes);
+      copy(job, bytes);
       record("shelf %s: serves %s", id.c_str(), job.words[2].c_str());
     }
     serve();
@@ -461,6 +503,21 @@
     orders.clear();
     listener.close();
   }
+  // The network to this shelf is cut: nothing arrives and nothing leaves, and no connection comes up.
+  void cut() {
+    for (const ConnPtr& conn : conns) {
+      conn->cut = true;
+      conn->watch();
+    }
+    listener.close();
+  }
+  void heal() {
+    listener.open(listener.address.ip, 512, listener.address.port);
+    for (const ConnPtr& conn : std::vector<ConnPtr>(conns)) {
+      conn->cut = false;
+      if (conn->open()) conn->watch();
+    }
+  }
   void restart() {
     listener.open(listener.address.ip, 512, listener.address.port);
     started_ms = wall_ms();
