Review case 7: attempts begin for clients that sent much at once and went

Cause: at its limit of open commands a session stops reading, so the client's end behind unread commands is not seen.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 # See claim.txt.
-exec "$(dirname "$0")/../common-2/run-case.sh" outage "$(dirname "$0")"
+exec "$(dirname "$0")/../common-2/run-case.sh" gone "$(dirname "$0")"
