--- a/review/common-2/cut.cpp
+++ b/review/common-2/cut.cpp
@@ -1,5 +1,6 @@
 // SIGTERM comes while clients read an export. Each answer that has begun has to come whole.
 #include "gateway.h"
+#include "reader.h"
 
 using namespace kit;
 
@@ -12,33 +13,6 @@
 constexpr Micros kTime = 6 * kSecond;    // the hard limit of the I/O group
 constexpr Micros kSlack = 500 * kMs;
 
-// Reads its answer at a steady pace.
-struct Reader {
-  int fd = -1;
-  std::size_t got = 0;
-  std::size_t length = 0;  // of the whole answer; 0: not known yet
-  std::string front;
-  bool closed = false;
-  Micros sent_at = 0;
-  Micros done_at = 0;
-  bool whole() const { return length > 0 && got >= length; }
-  void read_some(std::size_t most) {
-    std::string buffer(most, 0);
-    const ssize_t n = ::recv(fd, buffer.data(), most, MSG_DONTWAIT);
-    if (n == 0 || (n < 0 && errno != EAGAIN)) closed = true;
-    if (n <= 0) return;
-    got += static_cast<std::size_t>(n);
-    if (length == 0) {
-      front.append(buffer, 0, static_cast<std::size_t>(n));
-      const std::size_t end = front.find("\r\n\r\n");
-      const std::size_t at = front.find("Content-Length: ");
-      if (end != std::string::npos && at < end)
-        length = end + 4 + static_cast<std::size_t>(std::atol(front.c_str() + at + 16));
-    }
-    if (whole() && done_at == 0) done_at = now();
-  }
-};
-
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -62,14 +36,7 @@
     std::vector<Reader> readers(kClients);
     for (int i = 0; i < kClients; ++i) {
       Reader& reader = readers[i];
-      reader.fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-      int room = 64 << 10;
-      ::setsockopt(reader.fd, SOL_SOCKET, SO_RCVBUF, &room, sizeof room);
-      const sockaddr_in to = gateway.address.to_sockaddr();
-      if (::connect(reader.fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0) cannot_run("no connection");
-      const std::string request = "GET /rosters/export-" + std::to_string(i) + " HTTP/1.1\r\nHost: head\r\n\r\n";
-      ::send(reader.fd, request.data(), request.size(), MSG_NOSIGNAL);
-      reader.sent_at = now();
+      reader.ask(gateway.address, "/rosters/export-" + std::to_string(i));
       record("client %d: asks for export-%d", i, i);
     }
     const Micros term_at = now() + 700 * kMs;
--- a/review/common-2/gateway.h
+++ b/review/common-2/gateway.h
@@ -71,6 +71,7 @@
   Address address;  // of the head
   std::string folder;
   std::string settings;
+  long unit_us = 500;  // of a node
 
   void write(const std::string& name, const std::string& text) const {
     FILE* file = std::fopen((folder + "/" + name).c_str(), "w");
@@ -98,7 +99,8 @@
     for (int i = 0; i < node_count; ++i) {
       const std::string n = std::to_string(i);
       write("box-" + n + ".json", "{\"name\":\"box-" + n + "\",\"shard\":" + n +
-                                      ",\"cores\":2,\"room\":64,\"unit_us\":500,\"store\":\"" + folder + "/shard-" + n +
+                                      ",\"cores\":2,\"room\":64,\"unit_us\":" + std::to_string(unit_us) +
+                                      ",\"store\":\"" + folder + "/shard-" + n +
                                       "\"}");
       nodes[i].start({bin + "yewmount-node", "--settings", folder + "/box-" + n + ".json"}, folder + "/box.log");
       control(list.number("control_port"),
