--- a/review/common-2/cut.cpp
+++ b/review/common-2/cut.cpp
@@ -8,7 +8,7 @@
 
 constexpr int kRounds = 3;
 constexpr int kClients = 3;  // a round
-constexpr std::size_t kObject = 7 << 20;
+constexpr std::size_t kObject = 8 << 20;  // one extent
 constexpr double kBytesPerSecond = 3e6;  // that a client reads
 constexpr Micros kTime = 6 * kSecond;    // the hard limit of the I/O group
 constexpr Micros kSlack = 500 * kMs;
@@ -39,7 +39,7 @@
       reader.ask(gateway.address, "/rosters/export-" + std::to_string(i));
       record("client %d: asks for export-%d", i, i);
     }
-    const Micros term_at = now() + 700 * kMs;
+    const Micros term_at = now() + 500 * kMs;
     bool told = false;
     Micros last = now();
     while (now() < readers[0].sent_at + kTime + kSlack) {
