Review stand-ins: told from the change on, and nothing outlives its script

Cause: a head counted as told of a cold start from its first list on, 0.3 s before the change was written to it, which is stricter than the rule; and a script that was itself ended left its play running. Change: only the change counts; the script ends its play on a signal, and a play whose script is gone ends with all its processes.

--- a/review/common-2/kit.h
+++ b/review/common-2/kit.h
@@ -76,8 +76,11 @@
 
 // Runs the loop until `until` or until `done` returns true.
 inline void run_until(Micros until, const std::function<bool()>& done = [] { return false; }) {
+  static const char* const script = std::getenv("SCRIPT_PID");
   std::vector<pollfd> fds;
   while (now() < until && !done()) {
+    // The script is gone, even by SIGKILL: end, and all processes with this one.
+    if (script && ::kill(static_cast<pid_t>(std::atol(script)), 0) != 0) cannot_run("the script has ended");
     while (!timers.empty() && timers.begin()->first <= now()) {
       auto call = std::move(timers.begin()->second);
       timers.erase(timers.begin());
@@ -546,7 +549,7 @@
   std::vector<ConnPtr> conns;
   bool silent = false;
   std::int64_t answered = 0;    // lists written
-  Micros told_at = 0;           // when the newest version was first written to this head; 0: not yet
+  Micros told_at = 0;           // when the first change was written to this head; 0: not yet
   std::string name;
 
   void open(std::uint32_t ip, int backlog = 512) {
@@ -570,7 +573,7 @@
   std::string full_list() const { return list(true, shelfs); }
   void answer(Conn& conn, const std::string& body) {
     ++answered;
-    if (told_at == 0) told_at = now();
+    if (told_at == 0 && version > 41) told_at = now();
     conn.send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
               std::to_string(body.size()) + "\r\n\r\n" + body);
   }
--- a/review/common-2/run-case.sh
+++ b/review/common-2/run-case.sh
@@ -13,7 +13,12 @@
   exit 2
 }
 work=$(mktemp -d) || exit 2
-timeout -k 2 118 "build-review-2/$name" "$work" "$folder/record.txt"
+export SCRIPT_PID=$$
+timeout -k 2 118 "build-review-2/$name" "$work" "$folder/record.txt" &
+play=$!
+# Ended early: the play ends first, and with it all that it started.
+trap 'kill "$play" 2>/dev/null; wait "$play"; rm -rf "$work"; exit 2' TERM INT HUP
+wait "$play"
 code=$?
 [ "$code" -le 1 ] || { tail -n 3 "$work"/*.log; code=2; }
 rm -rf "$work"
