A surge after a quiet time does not push a cold node over

Such a node falls and stays down.

Cause: a head divided a cold node's capacity by the number of heads that use it, estimated by averages of its own use. After a quiet time these are near 0 and each head takes nearly all. With 300 heads a second cause: the number of time slots changes as the node warms up, and each change dealt the turns anew, so that many heads got further turns (84 units in a window of 3 s).

Change: the estimate counts only as far as recent traffic supports it, else all heads do, and only for the first request of a head in a window; further ones keep to an even part, or to what the node has proven. The number of slots is a power of two, so that slots among more are some of those among fewer.

Why this works: no head's entry rests on what quiet has not shown, and the sum of entries in a window is bounded by the turns, however the number of turns changes.

--- a/src/rules/rules.cpp
+++ b/src/rules/rules.cpp
@@ -7,6 +7,7 @@
 #include "rules.h"
 
 #include <algorithm>
+#include <bit>
 #include <cmath>
 #include <deque>
 #include <random>
@@ -52,6 +53,8 @@
 constexpr double kRetryTokensPerRequest = 0.2;  // earned by each block I/O if all retries succeed
 constexpr double kMaxRetryTokens = 10;
 constexpr double kColdCapacityMargin = 0.9;  // the part of a cold node's capacity that is used
+// Recent requests that weigh as much as the assumption that all heads use a cold node.
+constexpr double kUsagePriorRequests = 10;
 // A cold node may be sent this part of the overload multiple of what it recently served.
 constexpr double kSlowStartGrowth = 0.5;
 constexpr double kFitRetention = 0.93;         // weight that a node's latency fit keeps at each answer
@@ -272,27 +275,41 @@
     return !is_ejected(n) && !full && slow_start_allows(n, units);
   }
 
-  // Estimates how many heads use a node at one time from this head's own use: of all nodes on average, or of
-  // this node where that is more. Queued requests count as use: otherwise the time slots that hold them back
-  // would look like a lack of demand.
-  double competing_heads(const Node& n) const { return std::max(1.0, heads_ * std::max(reach_, n.demand)); }
+  // Estimates how many heads use a node within one overload window from this head's own use: of all nodes on
+  // average, or of this node where that is more. Queued requests count as use: otherwise the time slots that
+  // hold them back would look like a lack of demand. Without much recent traffic, own use tells nothing of
+  // the other heads, as a surge may come through all of them at once: the estimate then tends to all.
+  double competing_heads(const Node& n) const {
+    const double trust = recent_requests_ / (recent_requests_ + kUsagePriorRequests);
+    return std::max(1.0, heads_ * (1 - trust * (1 - std::max(reach_, n.demand))));
+  }
 
   // Slow start: limits what this head sends to a cold node, so that all heads together do not overload it.
-  // Each head keeps to its part of the node's capacity, divided by the heads that use it at one time. Where
-  // that is less than one request, heads take turns in time slots. Cost: a cold node is used less than
-  // possible while other heads have no use for it.
+  // The first request within an overload window may go if the node bears one of each head that uses it at one
+  // time; where it bears less, heads take turns in time slots. Further requests show that the node is in
+  // demand, which may hold for all heads: each head keeps to an even part of its capacity then. Cost: a cold
+  // node is used less than possible while other heads have no use for it.
   bool slow_start_allows(Node& n, double units) {
     if (!is_cold(n)) return true;
     const double used = n.sent_units.sum(now_, config_.overload_window);
-    const double part = config_.cold_capacity_units * kColdCapacityMargin * warmup_speed(n) /
-                        cold_speed_factor_ / competing_heads(n);
+    const double capacity =
+        config_.cold_capacity_units * kColdCapacityMargin * warmup_speed(n) / cold_speed_factor_;
+    if (used == 0) return is_first_turn(capacity, competing_heads(n));
     // What the node recently served for this head shows that it bears more: if all heads keep to this, the
     // sum stays below the overload multiple.
     const double proven =
         config_.overload_multiple * kSlowStartGrowth * n.completed_units.sum(now_, config_.overload_window);
-    const int slots = std::clamp(static_cast<int>(std::ceil(config_.typical_units / part)), 1, heads_);
-    return used + units <= std::max(part, proven) ||
-           (used == 0 && is_own_slot(config_.overload_window, slots));
+    return used + units <= std::max(capacity / heads_, proven);
+  }
+
+  // Whether this head may send the first request of an overload window to a node of this capacity, in units.
+  // The number of time slots is a power of two, so that its slots among more are some of its slots among
+  // fewer: it changes all the time as the node warms up, and no head may get a further slot by that.
+  bool is_first_turn(double capacity, double competing) const {
+    const double windows =
+        std::clamp(std::ceil(config_.typical_units * competing / capacity), 1.0, 1.0 * heads_);
+    return is_own_slot(config_.overload_window,
+                       static_cast<int>(std::bit_ceil(static_cast<unsigned>(windows))));
   }
 
   // Microseconds without an answer after which a node counts as silent.
@@ -704,6 +721,7 @@
   double wait_ = 0;  // moving average over all nodes, microseconds
   double headroom_ = 1;
   double reach_ = 1;            // part of the nodes that this head uses within an overload window
+  double recent_requests_ = 0;  // decayed number of requests that came here
   double retry_success_ = 0.5;  // moving average
   double retry_tokens_ = 1;
   Micros list_poll_at_ = 0;
@@ -825,6 +843,7 @@
   b.is_active = true;
   b.on_result = &Scheduler::handle_result;
   index_.insert(io.id, at);
+  recent_requests_ += 1;
   const Group& g = groups_[io.group];
   const double stretch = mean_rate_ > 0 ? g.goal_service_multiple * io.units / mean_rate_ : 0;
   // The goal counts from when the client's time began, which is a hard limit before its deadline: a retry, or
@@ -1053,6 +1072,7 @@
   if (busy > 0) mean_rate_ = served / busy;
   const double used_part = used / std::max<double>(1, node_count());
   reach_ += (std::min(1.0, used_part) - reach_) * usage_step;
+  recent_requests_ -= recent_requests_ * usage_step;
   remove_expired_key_queues();
   for (int at : active_) {
     Bio& b = bios_[at];
--- a/tests/rules/fleet_test.cpp
+++ b/tests/rules/fleet_test.cpp
@@ -19,9 +19,14 @@
                                          "n06", "n07", "n08", "n09", "n10", "n11"};
 constexpr int kCold = 5;  // the node that starts cold
 
-Provisioning provisioned(int heads) {
+Provisioning provisioned(int heads, bool brief_window = false) {
   Provisioning p = default_provisioning();
   p.heads = heads;
+  if (!brief_window) return p;
+  p.overload_window = second;
+  p.cold_capacity_units = 42;
+  p.overload_multiple = 3;
+  p.warmup_time = 13 * second;
   return p;
 }
 
@@ -71,9 +76,20 @@
   bool bad = false;            // the node resets all connections at first: it is ejected, then probed
   Micros again_after = 0;      // the node restarts a second time
   bool hot = false;            // a third of the requests are for the cold node
+  bool quiet = false;          // hardly any traffic, then a surge for the cold node only; see kSurgeDelay
+  int users = 0;               // heads that the surge goes through; 0: all
+  bool brief_window = false;   // an overload counts within one second, and a cold node bears more in it
   unsigned seed = 1;
 };
 
+// A quiet time before the restart, then each user asks the cold node for so many requests a second.
+constexpr Micros kQuietTime = 30 * second;
+constexpr double kQuietRate = 0.5;  // requests a second at each head, for all nodes
+constexpr Micros kSurgeDelay = 500 * ms;
+constexpr double kSurgeRate = 5;
+constexpr Micros kFirstSeconds = 3 * second;  // of the surge
+constexpr double kNoRate = 1e-12;             // as good as none; the distribution takes no zero
+
 // One head with its requests in progress; its submits go to the fleet.
 struct Member : HeadEnvironment {
   Member(const Provisioning& p, Micros now, std::function<void(Member&, std::uint64_t, int)> send)
@@ -100,8 +116,10 @@
 class Fleet {
  public:
   explicit Fleet(const Scenario& scenario)
-      : scenario_(scenario), random_(scenario.seed), checker(provisioned(scenario.heads)) {
-    p_ = provisioned(scenario.heads);
+      : scenario_(scenario),
+        random_(scenario.seed),
+        checker(provisioned(scenario.heads, scenario.brief_window)) {
+    p_ = provisioned(scenario.heads, scenario.brief_window);
     // The rate of a warm node, from the least that the settings promise of a cold one.
     warm_ = p_.cold_capacity_units / p_.overload_multiple / p_.cold_speed_factor /
             static_cast<double>(p_.overload_window);
@@ -116,7 +134,7 @@
   }
 
   void run() {
-    const Micros start = 8 * second,
+    const Micros start = scenario_.quiet ? kQuietTime : 8 * second,
                  second_start = scenario_.again_after > 0 ? start + scenario_.again_after : 0;
     std::vector<Micros> informed_at(members_.size());
     for (now_ = 0; now_ < start + scenario_.again_after + 10 * second; now_ += kStep) {
@@ -146,8 +164,7 @@
           const NodeEntry e{kCold, kNames[kCold], NodeState::ready, kCold, 0, 1, up_};
           m.head->update_node_list(ListKind::delta, {&e, 1});
         }
-        const double load = scenario_.load * (up_ > 0 ? scenario_.burst : 1);
-        std::poisson_distribution<int> arrivals(m.rate * load * static_cast<double>(kStep));
+        std::poisson_distribution<int> arrivals(request_rate(i) * static_cast<double>(kStep));
         for (int n = arrivals(random_); n > 0; --n) send_request(m);
         m.head->on_timer(0);
         m.head->run_scheduler();
@@ -156,8 +173,25 @@
   }
 
   std::size_t to_cold = 0, ended = 0;
+  std::size_t served_early = 0;  // by the cold node in the first seconds of the surge
 
  private:
+  bool is_surge() const { return scenario_.quiet && up_ > 0 && now_ >= up_ + kSurgeDelay; }
+
+  // Requests a microsecond at a head.
+  double request_rate(std::size_t head) const {
+    if (is_surge()) return is_user(head) ? kSurgeRate / second : kNoRate;
+    if (scenario_.quiet) return kQuietRate / second;
+    return members_[head]->rate * scenario_.load * (up_ > 0 ? scenario_.burst : 1);
+  }
+
+  // The users are spread evenly over the heads' numbers.
+  bool is_user(std::size_t head) const {
+    const std::size_t heads = members_.size();
+    const std::size_t users = scenario_.users > 0 ? static_cast<std::size_t>(scenario_.users) : heads;
+    return (head + 1) * users / heads > head * users / heads;
+  }
+
   std::unique_ptr<Member> make_member(int number, Micros now) {
     Provisioning p = p_;
     p.own_number = number;
@@ -175,7 +209,7 @@
     const int units = std::min(6, 1 + static_cast<int>(random_() % 3));  // two on average
     const int group = random_() % 3 == 0;
     int shard = random_() % 2 ? static_cast<int>(random_() % kNames.size()) : -1;
-    if (scenario_.hot && up_ > 0 && random_() % 3 == 0) shard = kCold;
+    if (is_surge() || (scenario_.hot && up_ > 0 && random_() % 3 == 0)) shard = kCold;
     m.bios[++last_] = {units, 0};
     m.head->enqueue({.id = last_,
                      .object = random_() | 1u,
@@ -216,6 +250,7 @@
       const auto it = d.to->bios.find(d.id);
       const bool good = d.result == Result::ended, over = good || it == d.to->bios.end();
       ended += good && it != d.to->bios.end();
+      served_early += good && d.node == kCold && up_ > 0 && now_ < up_ + kSurgeDelay + kFirstSeconds;
       if (good && it != d.to->bios.end()) d.to->bios.erase(it);
       d.to->head->set_time(now_);
       d.to->head->on_submit_result({d.id, d.no, d.node, d.result, over, now_ - d.sent, 0, 0, {}});
@@ -258,8 +293,9 @@
       EXPECT_GT(fleet.to_cold, 0u) << "the cold node must get some requests";
       RecordProperty("worst", std::to_string(fleet.checker.worst));
       if (std::getenv("FLEET_VERBOSE"))
-        std::printf("heads %d seed %u worst %.2f to cold %zu ended %zu\n", scenario.heads, scenario.seed,
-                    fleet.checker.worst, fleet.to_cold, fleet.ended);
+        std::printf("heads %d users %d seed %u worst %.2f to cold %zu early %zu ended %zu\n", scenario.heads,
+                    scenario.users, scenario.seed, fleet.checker.worst, fleet.to_cold, fleet.served_early,
+                    fleet.ended);
     }
   }
 };
@@ -273,6 +309,13 @@
   play({.load = 2.2, .burst = 1.5, .bad = true, .hot = true});
 }
 TEST_P(ColdNodes, Twice) { play({.load = 2.2, .burst = 1.5, .again_after = 7 * second, .hot = true}); }
+// Guards against heads that take a cold node for their own because a quiet time has shown them no use for it:
+// then a surge comes through all of them at once, or through some.
+TEST_P(ColdNodes, InASurgeAfterAQuietTime) { play({.quiet = true}); }
+TEST_P(ColdNodes, InASurgeAfterAQuietTimeWithABriefWindow) { play({.quiet = true, .brief_window = true}); }
+TEST_P(ColdNodes, InASurgeThroughFewHeadsAfterAQuietTime) {
+  for (const int users : {1, 4}) play({.quiet = true, .users = users, .brief_window = true});
+}
 INSTANTIATE_TEST_SUITE_P(Heads, ColdNodes, ::testing::Values(20, 30, 300));
 
 // Tests the checker: it finds one request too many, and does not blame heads that did not know of the
