The end of a client is seen however much it sent before

Cause: with 32 open commands a session kept 256 KiB and stopped reading. The end of the stream comes after all that was sent, and no poll shows it before. The head was never off the processor (longest turn 286 us).

Change: a session at its limit reads on. InputQueue, split from the session, keeps waiting commands up to a bound and refuses those behind in their turn, of which only the number is kept. Reading pauses at the limit only while output is pending, when a close resets the connection. A command that waits for memory over 50 ms with more behind it, while earlier ones are open, is refused. At the end of the stream up to 32 of the commands that waited are taken, so that clients that end only their sending are served. Session::has_client_closed alone tells whether a client has gone.

Why this works: what is not kept is still read, so that nothing a client sends can lie before its end for long.

--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -44,6 +44,7 @@
 # Relay mode: serves the platform's RESP protocol with its own client, node and discovery connections.
 yewmount_package(resp SOURCES src/resp/resp.cpp)
 yewmount_package(client_sessions SOURCES src/client_sessions/client_sessions.cpp src/client_sessions/session.cpp
+                 src/client_sessions/input_queue.cpp
                  USES yewmount_net yewmount_resp yewmount_base)
 yewmount_package(node_connections SOURCES src/node_connections/node_connections.cpp
                  USES yewmount_net yewmount_resp yewmount_base yewmount_provision)
--- a/src/client_sessions/client_sessions.cpp
+++ b/src/client_sessions/client_sessions.cpp
@@ -154,6 +154,7 @@
   const Micros now = monotonic_now();
   if (now - whole_commands_served_at_ < kWholeCommandsIntervalUs) return;
   whole_commands_served_at_ = now;
+  refuse_hiding_commands();
   for (const CommandId& id : room_waiters_) {
     Session* const session = find(id);
     if (!session || !session->is_waiting_for_room() || !session->has_whole_command()) continue;
@@ -161,6 +162,17 @@
   }
 }
 
+// Refuses the commands whose wait for room may hide that their clients have closed.
+void ClientSessions::refuse_hiding_commands() {
+  const Micros now = monotonic_now();
+  for (const CommandId& id : room_waiters_) {
+    Session* const session = find(id);
+    if (!session || !session->is_waiting_for_room() || !session->hides_close(now)) continue;
+    ++counts_.refused_waiting;
+    session->skip_partial_command();
+  }
+}
+
 // Serves the sessions that wait for room in their order, and refuses commands that have waited too long.
 void ClientSessions::serve_room_waiters() {
   serve_whole_commands();
@@ -245,7 +257,7 @@
 
 bool ClientSessions::has_client_closed(const CommandId& id) const {
   Session* session = find(id);
-  return !session || session->has_peer_closed();
+  return !session || session->has_client_closed();
 }
 
 SessionTotals ClientSessions::totals() const {
--- a/src/client_sessions/client_sessions.h
+++ b/src/client_sessions/client_sessions.h
@@ -62,6 +62,7 @@
   std::uint64_t reads_paused = 0;      // for lack of room for the rest of a command
   std::uint64_t refused_stalled = 0;   // incomplete commands refused because their clients sent nothing more
   std::uint64_t refused_waiting = 0;   // incomplete commands refused because they found no room in time
+  std::uint64_t refused_queued = 0;    // commands refused because too many waited before them
   std::array<std::uint64_t, permits::kCloseReasons.size()> closed = {};  // by CloseReason
   // Violations, which must remain 0: connections closed with an unanswered request while the client was still
   // connected, and answers to a request that already had one.
@@ -127,6 +128,7 @@
   bool make_input_room(Session& session);
   void serve_room_waiters();
   void serve_whole_commands();
+  void refuse_hiding_commands();
   void close_session(int index, CloseReason reason);
   Session* find(const CommandId& id) const;
   template <class BytesOf>
--- a/src/client_sessions/session.cpp
+++ b/src/client_sessions/session.cpp
@@ -16,10 +16,16 @@
 // A client that has accepted no output for this long counts as one that does not read.
 constexpr Micros kUnreadTimeoutUs = kSecondUs / 2;
 constexpr Micros kIdleTimeoutUs = 20 * kSecondUs;
-// Limits of one connection. At the first two, further commands wait; above the third, reading pauses.
+// Limits of one connection. At the first two, further commands wait.
 constexpr std::size_t kMaxOpenCommands = 32;        // commands whose answers have not been sent
 constexpr std::size_t kMaxUnreadBytes = 256 << 10;  // of answers that only wait for the client to read
-constexpr std::size_t kMaxQueuedBytes = 256 << 10;  // bytes of waiting commands
+constexpr std::size_t kMaxLastCommands = 32;        // further ones that are taken at the end of the stream
+// What a connection may hold of waiting commands, and as a part of what all connections may hold, where that
+// is more.
+constexpr std::size_t kMaxQueuedBytes = 256 << 10;
+constexpr std::size_t kQueuedShareDivisor = 16;
+// How long unread input may hide the end of the stream; operators allow 0.1 s until nothing begins any more.
+constexpr Micros kMaxHiddenCloseUs = 50'000;
 // Answers are moved to the output buffer while it holds less than this. What is there can't be dropped.
 constexpr std::size_t kOutputWindowBytes = 16 << 10;
 // What is read at once where no large command is under way: a connection that floods the head with small ones
@@ -28,8 +34,6 @@
 // What a connection may always hold, however short memory is, so that small commands are served.
 constexpr std::size_t kMinInputBytes = 1 << 10;
 constexpr std::size_t kMinUnreadBytes = 2 << 10;
-// Parts of the input that arrive within this time of each other count as arrived with the first.
-constexpr Micros kArrivalResolutionUs = 5'000;
 // After a pause of reading, bytes that the client has sent before may still be on their way for this long, as
 // there was no room for them on this machine.
 constexpr Micros kFlowControlUs = 50'000;
@@ -50,7 +54,7 @@
       owner_(owner),
       index_(index),
       connection_id_(connection_id),
-      input_(owner.budget_, memory::Use::client_input),
+      input_(owner.budget_),
       answer_charge_(owner.budget_, memory::Use::answers),
       opened_at_(monotonic_now()),
       last_used_at_(opened_at_),
@@ -69,7 +73,7 @@
   if (!is_unanswered(sequence)) return false;
   Answer& entry = answers_[sequence - first_sequence_];
   entry.is_known = true;
-  if (sequence == first_sequence_ && pending_bytes() < kOutputWindowBytes) {
+  if (sequence == first_sequence_ && entry.copies == 1 && pending_bytes() < kOutputWindowBytes) {
     append_output(bytes);  // without a copy in between
   } else {
     entry.bytes = bytes;
@@ -111,14 +115,9 @@
 }
 
 bool ClientSessions::Session::move_answers_to_output(std::size_t max_pending) {
+  const std::uint64_t appended_before = bytes_appended();
   std::size_t count = 0;
-  for (; count < answers_.size() && answers_[count].is_known; ++count) {
-    std::string& bytes = answers_[count].bytes;
-    if (!bytes.empty() && pending_bytes() >= max_pending) break;
-    append_output(bytes);
-    waiting_answer_bytes_ -= heap_bytes(bytes);
-    std::string().swap(bytes);
-  }
+  while (count < answers_.size() && move_answer_to_output(answers_[count], max_pending)) ++count;
   if (count > 0) {
     answers_.erase(answers_.begin(), answers_.begin() + static_cast<std::ptrdiff_t>(count));
     first_sequence_ += count;
@@ -126,7 +125,20 @@
     if (answers_.empty()) std::vector<Answer>().swap(answers_);
   }
   update_answer_charge();
-  return count > 0;
+  return count > 0 || bytes_appended() > appended_before;
+}
+
+// Moves an answer to the output buffer, as far as that holds less than `max_pending` bytes; returns whether
+// all of it was moved.
+bool ClientSessions::Session::move_answer_to_output(Answer& answer, std::size_t max_pending) {
+  if (!answer.is_known) return false;
+  for (; answer.copies > 0; --answer.copies) {
+    if (!answer.bytes.empty() && pending_bytes() >= max_pending) return false;
+    append_output(answer.bytes);
+  }
+  waiting_answer_bytes_ -= heap_bytes(answer.bytes);
+  std::string().swap(answer.bytes);
+  return true;
 }
 
 void ClientSessions::Session::update_answer_charge() {
@@ -139,20 +151,16 @@
   if (open()) on_write_progress();
 }
 
-// Adds a command with a given answer at the end.
-void ClientSessions::Session::append_answer(std::string_view line) {
-  answers_.emplace_back();
+// Adds commands in a row with a given answer at the end.
+void ClientSessions::Session::append_answer(std::string_view line, std::size_t copies) {
+  answers_.push_back({.is_known = false, .copies = copies, .bytes = {}});
   answer(first_sequence_ + answers_.size() - 1, line);
 }
 
 void ClientSessions::Session::reject_queued_commands() {
-  for (std::string_view all = input_.view(); !input_rejected_ && !all.empty();) {
-    resp::Command command;
-    if (resp::parse(all, command) != resp::ParseStatus::complete) break;
-    all.remove_prefix(command.bytes);
-    append_answer(kBusyAnswer);
-  }
+  const std::size_t count = input_rejected_ ? 0 : input_.command_count();
   discard_input();
+  if (count > 0) append_answer(kBusyAnswer, count);
 }
 
 // Closes the session after its last answer, or lets commands continue that waited for pending output.
@@ -161,7 +169,11 @@
   if (!open()) return;
   if (answers_.empty() && pending_bytes() == 0 && (input_rejected_ || peer_eof_seen_))
     return owner_.close_session(index_, input_rejected_ ? rejection_reason() : CloseReason::ended);
-  if (at_limit_ && !is_at_limit()) owner_.resumable_.push_back(command_id(0));
+  if (!at_limit_) return;
+  if (!is_at_limit())
+    owner_.resumable_.push_back(command_id(0));
+  else if (reading_paused_ && !is_close_reported())
+    update_reading();
 }
 
 // --- input ------------------------------------------------------------------------------------------------
@@ -170,13 +182,16 @@
 std::span<char> ClientSessions::Session::read_buffer() {
   const std::size_t kept = input_.size();
   const std::size_t unconditional =
-      std::max(skipped_command_bytes_, kept < kMinInputBytes ? kMinInputBytes - kept : 1);
+      std::max(input_.skipped_bytes(), kept < kMinInputBytes ? kMinInputBytes - kept : 1);
   const std::size_t room = input_.spare() + owner_.budget_.room(memory::Use::client_input);
   const std::size_t rest_of_command = partial_command_bytes_ - std::min(kept, partial_command_bytes_);
-  // While commands wait, the input behind them costs no processor time, and the end of the stream may be
-  // there.
-  const std::size_t wanted = at_limit_ ? net::kReadBufferBytes : std::max(kReadBytes, rest_of_command);
+  // While commands wait, the end of the stream may lie behind the input. What finds no room is refused.
+  const std::size_t wanted = std::max(kReadBytes, rest_of_command);
   const auto buffer = net::shared_read_buffer();
+  if (at_limit_) {
+    read_buffer_bytes_ = buffer.size();
+    return buffer;
+  }
   read_buffer_bytes_ = std::min(std::max(std::min(room, wanted), unconditional), buffer.size());
   return buffer.first(read_buffer_bytes_);
 }
@@ -218,14 +233,22 @@
 // Passes complete commands to the handler until a limit is reached, and keeps the rest of the input.
 void ClientSessions::Session::parse_commands(std::string_view bytes, Micros arrived_at) {
   bytes = skip_refused_command(bytes);
+  partial_command_bytes_ = 0;
+  const bool commands_wait = at_limit_;
+  at_limit_ = is_at_limit();
+  if (commands_wait || at_limit_) {
+    queue_input(bytes, arrived_at);
+    bytes = {};
+  }
+  if (at_limit_) return update_reading();
   const std::size_t kept_before = input_.size();
   if (kept_before > 0) input_.append(bytes);
   const std::string_view all = kept_before > 0 ? input_.view() : bytes;
   std::size_t used = 0;
-  at_limit_ = false;
-  partial_command_bytes_ = 0;
-  while (used < all.size()) {
-    if ((at_limit_ = is_at_limit())) break;
+  while (true) {
+    answer_refused_commands(used);
+    if (input_.is_malformed_behind(used)) return reject_input("a command that can't be read");
+    if (used >= all.size() || (at_limit_ = is_at_limit())) break;
     resp::Command command;
     const resp::ParseStatus status = resp::parse(all.substr(used), command);
     if (status == resp::ParseStatus::malformed) return reject_input(command.why);
@@ -239,58 +262,54 @@
     has_sent_command_ = true;
     answers_.emplace_back();
     owner_.handler_.on_command(command_id(first_sequence_ + answers_.size() - 1), command,
-                               used > kept_before ? arrived_at : input_arrival_time(used));
+                               used > kept_before ? arrived_at : input_.arrival_time(used));
   }
   update_answer_charge();
   keep_input(all.substr(used), used, arrived_at);
   update_reading();
 }
 
+// Answers the commands that were refused behind the first `used` bytes of the input.
+void ClientSessions::Session::answer_refused_commands(std::size_t used) {
+  const std::size_t count = input_.take_refused(used);
+  if (count == 0) return;
+  owner_.counts_.refused_queued += count;
+  append_answer(kBusyAnswer, count);
+  owner_.unflushed_.push_back(command_id(0));
+}
+
 // Drops what belongs to a refused command, and returns the rest of the bytes.
 std::string_view ClientSessions::Session::skip_refused_command(std::string_view bytes) {
-  if (skipped_command_bytes_ == 0) return bytes;
-  const std::size_t skipped = std::min(skipped_command_bytes_, bytes.size());
-  skipped_command_bytes_ -= skipped;
-  if (skipped_command_bytes_ == 0) partial_since_ = 0;
-  return bytes.substr(skipped);
+  if (!input_.is_skipping()) return bytes;
+  const std::string_view rest = input_.skip(bytes);
+  if (!input_.is_skipping()) partial_since_ = 0;
+  return rest;
+}
+
+// Keeps input behind commands that wait because of a limit.
+void ClientSessions::Session::queue_input(std::string_view bytes, Micros arrived_at) {
+  input_.append_or_refuse(bytes, max_queued_bytes());
+  input_.record_arrival(arrived_at, false);
+  if (input_.is_skipping() || (partial_since_ == 0 && !input_.empty())) partial_since_ = monotonic_now();
 }
 
 // Keeps unparsed input, with the arrival times of its parts. `used` is the number of parsed bytes.
 void ClientSessions::Session::keep_input(std::string_view rest, std::size_t used, Micros arrived_at) {
-  if (rest.empty()) {
-    input_.clear();
-    std::vector<InputPart>().swap(input_parts_);
-    return;
-  }
-  if (input_.empty())
-    input_.append(rest);
-  else
+  if (!input_.empty())
     input_.consume(used);
-  std::erase_if(input_parts_, [&](InputPart& part) {
-    part.end -= std::min(part.end, used);
-    return part.end == 0;
-  });
-  record_arrival(arrived_at);
-  if (partial_since_ == 0) partial_since_ = monotonic_now();
-}
-
-// Records when the input behind the last recorded part arrived. The time of a part is that of its first
-// bytes, since a command may not count as younger than it is.
-void ClientSessions::Session::record_arrival(Micros arrived_at) {
-  const std::size_t end = input_.size();
-  if (!input_parts_.empty() && input_parts_.back().end >= end) return;
-  if (!at_limit_) input_parts_.clear();  // the command is not complete: it arrives with its last part
-  if (!input_parts_.empty() && arrived_at - input_parts_.back().arrived_at < kArrivalResolutionUs)
-    input_parts_.back().end = end;
+  else if (at_limit_)
+    return queue_input(rest, arrived_at);
   else
-    input_parts_.push_back({end, arrived_at});
+    input_.append(rest);
+  input_.record_arrival(arrived_at, !at_limit_);
+  if (partial_since_ == 0 && !rest.empty()) partial_since_ = monotonic_now();
 }
 
-// When the kept input up to position `end` had arrived.
-Micros ClientSessions::Session::input_arrival_time(std::size_t end) const {
-  for (const InputPart& part : input_parts_)
-    if (part.end >= end) return part.arrived_at;
-  return monotonic_now();
+// The most bytes of commands that may wait in the input, so that all connections find room.
+std::size_t ClientSessions::Session::max_queued_bytes() const {
+  const std::size_t most =
+      std::max(kMaxQueuedBytes, owner_.budget_.share(memory::Use::client_input) / kQueuedShareDivisor);
+  return std::clamp(owner_.budget_.room(memory::Use::client_input), kMinInputBytes, most);
 }
 
 bool ClientSessions::Session::is_at_limit() const {
@@ -298,7 +317,8 @@
   const std::size_t unread_bytes = pending_bytes() + (is_blocked ? 0 : waiting_answer_bytes_);
   const std::size_t max_unread_bytes =
       std::clamp(owner_.budget_.room(memory::Use::client_output), kMinUnreadBytes, kMaxUnreadBytes);
-  return answers_.size() >= kMaxOpenCommands || unread_bytes >= max_unread_bytes;
+  const std::size_t max_open_commands = kMaxOpenCommands + (peer_eof_seen_ ? kMaxLastCommands : 0);
+  return answers_.size() >= max_open_commands || unread_bytes >= max_unread_bytes;
 }
 
 // Reserves memory for the whole of the incomplete command, so that a client that is read from can finish;
@@ -311,17 +331,16 @@
   return true;
 }
 
-// Pauses reading while commands wait and much input is kept, or while there is no room for the rest of a
-// command.
+// Pauses reading while commands wait for the client to read and much input is kept, or while there is no room
+// for the rest of a command.
 void ClientSessions::Session::update_reading() {
   const bool was_paused = reading_paused_;
   if (at_limit_) {
     is_waiting_for_room_ = false;
-    const bool is_short_of_room =
-        input_.size() >= kMinInputBytes && owner_.budget_.room(memory::Use::client_input) == 0;
-    reading_paused_ = input_.size() > kMaxQueuedBytes || is_short_of_room;
+    reading_paused_ = is_close_reported() && input_.size() >= max_queued_bytes();
   } else {
     reading_paused_ = !reserve_partial_command();
+    if (reading_paused_ && hides_close(monotonic_now())) return skip_partial_command();
     if (reading_paused_ && !is_waiting_for_room_) {
       room_wanted_since_ = monotonic_now();
       owner_.room_waiters_.push_back(command_id(0));
@@ -340,6 +359,14 @@
   pause_reading(reading_paused_);
 }
 
+bool ClientSessions::Session::hides_close(Micros now) const {
+  const bool has_waited = unread_since_ > 0 && now - unread_since_ > kMaxHiddenCloseUs;
+  if (!has_waited || is_close_reported() || unanswered_count() == 0) return false;
+  const std::size_t rest_of_command =
+      partial_command_bytes_ - std::min(input_.size(), partial_command_bytes_);
+  return unread_bytes() > rest_of_command;
+}
+
 bool ClientSessions::Session::try_resume_reading() {
   if (!reserve_partial_command()) return false;
   last_input_at_ = monotonic_now();  // the wait was not the client's
@@ -370,8 +397,8 @@
 
 void ClientSessions::Session::skip_partial_command() {
   if (!is_partial_length_known_) return refuse_partial_command();
-  skipped_command_bytes_ = partial_command_bytes_ - input_.size();
-  discard_input();
+  input_.skip_command(partial_command_bytes_);
+  partial_command_bytes_ = 0;
   append_answer(kBusyAnswer);
   owner_.unflushed_.push_back(command_id(0));
   update_reading();
@@ -404,7 +431,6 @@
 
 void ClientSessions::Session::discard_input() {
   input_.clear();
-  std::vector<InputPart>().swap(input_parts_);
   partial_command_bytes_ = 0;
 }
 
@@ -424,13 +450,16 @@
   for (const CommandId& id : unanswered) owner_.handler_.on_half_close(id);
 }
 
-// The client has closed the connection or only its sending side; the two cannot be told apart here. Waiting
-// commands are rejected, and running ones are still answered, since the client may read on. The handler is
-// told one loop iteration later, so that a command that arrived together with the end may still begin.
+// The client has closed the connection or only its sending side; the two cannot be told apart here. Running
+// commands are still answered, since the client may read on. The handler is told one loop iteration later, so
+// that commands that arrived together with the end may still begin; the first that waited because of the
+// limit on open commands are taken for that, and the others are rejected.
 bool ClientSessions::Session::on_peer_eof() {
   ++owner_.counts_.half_closed;
   peer_eof_seen_ = true;
-  const bool was_waiting_for_room = std::exchange(is_waiting_for_room_, false);
+  const bool was_waiting_for_room = is_waiting_for_room_;
+  if (at_limit_ && !input_rejected_) handle_input({}, monotonic_now());
+  is_waiting_for_room_ = false;
   reject_queued_commands();
   if (was_waiting_for_room) append_answer(kBusyAnswer);  // the rest of the command may be in the socket
   owner_.new_half_closed_.push_back(command_id(0));
@@ -446,9 +475,9 @@
   }
   if (now - last_write_progress_at_ > kStalledTimeoutUs) return CloseReason::stalled;
   // While reading is paused, the end of the stream behind unread input is noticed only here.
-  if (reading_paused_ && !peer_eof_seen_ && has_peer_closed()) on_peer_eof();
+  if (reading_paused_ && !peer_eof_seen_ && has_client_closed()) on_peer_eof();
   if (input_rejected_ || !answers_.empty()) return {};
-  const bool is_within_command = (!input_.empty() && !at_limit_) || skipped_command_bytes_ > 0;
+  const bool is_within_command = (!input_.empty() && !at_limit_) || input_.is_skipping();
   if (is_within_command && now - partial_since_ > kCommandTimeoutUs) {
     reject_input("a command that doesn't end");
     return {};
--- a/src/client_sessions/session.h
+++ b/src/client_sessions/session.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "client_sessions/client_sessions.h"
-#include "memory/byte_buffer.h"
+#include "client_sessions/input_queue.h"
 #include "net/stream.h"
 
 namespace yewmount::client_sessions {
@@ -24,7 +24,7 @@
   Micros last_used_at() const { return last_used_at_; }
   // Whether the session is between commands.
   bool is_idle() const {
-    return answers_.empty() && input_.empty() && skipped_command_bytes_ == 0 && pending_bytes() == 0;
+    return answers_.empty() && input_.empty() && !input_.is_skipping() && pending_bytes() == 0;
   }
   std::size_t unanswered_count() const;
 
@@ -60,6 +60,10 @@
   }
 
   // --- input ---
+  // Whether the client has closed or half-closed its connection, according to its socket at this moment. The
+  // end is seen at any time, however much the client has sent before it: reading pauses for long only while
+  // output is pending, for which a client that has closed gets the connection reset.
+  bool has_client_closed() { return peer_eof_seen_ || has_peer_closed(); }
   // Resets `unread_since_` if no bytes have arrived since.
   void reset_unread_since_if_empty();
   // Continues with commands that had to wait because of a limit.
@@ -70,6 +74,9 @@
   bool has_partial_command() const { return !input_.empty() && !at_limit_ && !input_rejected_; }
   bool is_waiting_for_room() const { return is_waiting_for_room_; }
   Micros room_wanted_since() const { return room_wanted_since_; }
+  // Whether the incomplete command must not wait for room any longer: the end of the stream may lie behind
+  // what has long been unread, while earlier commands of the client may still begin.
+  bool hides_close(Micros now) const;
   // How long nothing has been read for the incomplete command; 0 if there is none or this is not the client's
   // doing.
   Micros stalled_for(Micros now) const;
@@ -100,12 +107,8 @@
  private:
   struct Answer {
     bool is_known = false;
-    std::string bytes;  // until it is moved to the output buffer
-  };
-  // A part of input_ that was read at once and ends at `end`.
-  struct InputPart {
-    std::size_t end;
-    Micros arrived_at;
+    std::size_t copies = 1;  // the commands in a row that it answers
+    std::string bytes;       // until it is moved to the output buffer
   };
 
   std::span<char> read_buffer() override;
@@ -115,19 +118,22 @@
   void on_error(const std::error_code&) override { owner_.close_session(index_, CloseReason::broken); }
 
   CommandId command_id(std::uint64_t sequence) const { return {index_, connection_id_, sequence}; }
-  void append_answer(std::string_view line);
+  void append_answer(std::string_view line, std::size_t copies = 1);
+  bool move_answer_to_output(Answer& answer, std::size_t max_pending);
   void update_answer_charge();
   bool is_at_limit() const;
+  bool is_close_reported() const { return pending_bytes() > 0; }
+  std::size_t max_queued_bytes() const;
   void handle_input(std::string_view bytes, Micros arrived_at);
   void parse_commands(std::string_view bytes, Micros arrived_at);
+  void queue_input(std::string_view bytes, Micros arrived_at);
   void keep_input(std::string_view rest, std::size_t used, Micros arrived_at);
-  void record_arrival(Micros arrived_at);
+  void answer_refused_commands(std::size_t used);
   Micros waiting_since(Micros now) const;
   void mark_socket_drained(Micros now);
   std::string_view skip_refused_command(std::string_view bytes);
   bool reserve_partial_command();
   void update_reading();
-  Micros input_arrival_time(std::size_t end) const;
   void discard_input();
   void stop_taking_input();
   void reject_input(std::string_view why);
@@ -138,11 +144,9 @@
   std::vector<Answer> answers_;  // from the first that is not in the output buffer on
   std::uint64_t first_sequence_ = 0;
   std::uint64_t last_bytes_written_ = 0;
-  memory::ByteBuffer input_;  // an incomplete command, or commands that wait because of a limit
-  std::vector<InputPart> input_parts_;
+  InputQueue input_;
   std::size_t partial_command_bytes_ = 0;  // length of the incomplete command as far as it is known
   bool is_partial_length_known_ = false;   // whether that is its whole length
-  std::size_t skipped_command_bytes_ = 0;  // that are still to come of a refused command
   std::size_t waiting_answer_bytes_ = 0;   // memory of answers_
   memory::Charge answer_charge_;
   bool has_sent_command_ = false;
--- a/src/memory/byte_buffer.cpp
+++ b/src/memory/byte_buffer.cpp
@@ -44,6 +44,11 @@
   charge_.set(0);
 }
 
+void ByteBuffer::truncate(std::size_t bytes) {
+  if (bytes == 0) return clear();
+  end_ = std::min(end_, begin_ + bytes);
+}
+
 void ByteBuffer::reallocate(std::size_t capacity) {
   auto larger = std::make_unique_for_overwrite<char[]>(capacity);
   const std::size_t count = size();
--- a/src/memory/byte_buffer.h
+++ b/src/memory/byte_buffer.h
@@ -33,6 +33,8 @@
   void append(std::string_view bytes);
   // Removes bytes from the front; frees memory once little or nothing is left.
   void consume(std::size_t bytes);
+  // Keeps the first bytes only.
+  void truncate(std::size_t bytes);
   void clear() { consume(size()); }
 
  private:
--- a/src/relay/report.cpp
+++ b/src/relay/report.cpp
@@ -34,6 +34,7 @@
           {"reads_paused", session_counts.reads_paused + node_counts.reads_paused},
           {"refused_stalled", session_counts.refused_stalled},
           {"refused_waiting", session_counts.refused_waiting},
+          {"refused_queued", session_counts.refused_queued},
           {"values_dropped", counts_.values_over_memory + session_counts.dropped_values},
           {"ended_for_memory", session_counts.ended_for_memory},
           {"submits", counts_.submits},
