--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -403,8 +403,8 @@
   EXPECT_EQ(platform.record.runs.size(), sent);
 }
 
-// The head stops reading from a client with 32 open commands and 256 KiB of waiting ones; later commands stay
-// in the socket buffer. Their timeout runs meanwhile: a node is told no more time than the client has left.
+// The commands of a client with 32 open ones wait, in the head or in the socket buffer. Their timeout runs
+// meanwhile: a node is told no more time than the client has left.
 TEST_F(Serving, TimeInTheSocketBufferCountsAgainstTheTimeout) {
   for (auto& settings_class : platform.config["settings"]["classes"]) settings_class["objective-s"] = 2.5;
   platform.start();
