A session that closes within its timeout check is kept until the check has ended

Cause: the end of a stream now passes on commands that waited, and an error in that closes the session; found by reading, not seen in a run. The count waited_for_connection left out submits that came while others waited.

Change: the caller holds the session during check_timeouts(), which ends once it has met the end of the stream; each submit that is left without a connection counts.

--- a/src/client_sessions/client_sessions.cpp
+++ b/src/client_sessions/client_sessions.cpp
@@ -335,8 +335,10 @@
 
 void ClientSessions::close_overdue(Micros now) {
   std::vector<int> indexes(active_.begin(), active_.end());
-  for (int index : indexes)
-    if (const auto reason = sessions_[index]->check_timeouts(now)) close_session(index, *reason);
+  for (int index : indexes) {
+    const std::shared_ptr<Session> session = sessions_[index];  // kept until the call has ended
+    if (const auto reason = session->check_timeouts(now)) close_session(index, *reason);
+  }
   std::erase_if(lingering_, [&](auto& entry) {
     if (entry.first <= now) entry.second->close();
     return !entry.second->open();
--- a/src/client_sessions/session.cpp
+++ b/src/client_sessions/session.cpp
@@ -475,7 +475,10 @@
   }
   if (now - last_write_progress_at_ > kStalledTimeoutUs) return CloseReason::stalled;
   // While reading is paused, the end of the stream behind unread input is noticed only here.
-  if (reading_paused_ && !peer_eof_seen_ && has_client_closed()) on_peer_eof();
+  if (reading_paused_ && !peer_eof_seen_ && has_client_closed()) {
+    on_peer_eof();
+    return {};  // it may have closed the session
+  }
   if (input_rejected_ || !answers_.empty()) return {};
   const bool is_within_command = (!input_.empty() && !at_limit_) || input_.is_skipping();
   if (is_within_command && now - partial_since_ > kCommandTimeoutUs) {
--- a/src/node_connections/node_connections.cpp
+++ b/src/node_connections/node_connections.cpp
@@ -244,8 +244,8 @@
   if (!known) return detach(index, Result::no_connection);
   outstanding.command = std::move(command);
   connection_waiters_.push_back(index);
-  if (connection_waiters_.size() > 1) return;  // earlier ones come first
-  assign_connections(now);
+  const bool is_first = connection_waiters_.size() == 1;
+  if (is_first) assign_connections(now);
   if (!connection_waiters_.empty()) ++counts_.waited_for_connection;
 }
 
